Model load without processes; short calls first, shorter queues

The decisions on waiting are now pure (admission/line.py), and `bench load` plays them, the choice of endpoints and the retries in simulated time, with policies side by side.

Change: within a priority the shortest slot time for what an answer is worth goes first; a queue is bounded by the slots as well (traffic.queue_per_slot); an answer tells of the load in front of a like call, by route; a farther endpoint is chosen only where there is room.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -1,11 +1,13 @@
 """The owner: decides at the backend server's side what runs and what does not."""
 
+import math
 import random
 import threading
 from dataclasses import replace
 
+from rattanworks.admission.line import Verdict
 from rattanworks.admission.return_time import return_seconds
-from rattanworks.admission.slots import SlotQueue, Verdict
+from rattanworks.admission.slots import SlotQueue
 from rattanworks.admission.time_left import TimeLeft
 from rattanworks.admission.waiting import Rank
 from rattanworks.exceptions import (
@@ -42,12 +44,15 @@
 class Owner:
     """Admits calls to the backend server beside this node."""
 
-    def __init__(self, members, tables, limits, clock, queue_length):
+    def __init__(
+        self, members, tables, limits, clock, queue_length, queue_per_slot=math.inf
+    ):
         self._members = members
         self._tables = tables
         self._limits = limits
         self._clock = clock
         self._queue_length = queue_length
+        self._queue_per_slot = queue_per_slot
         self._lock = threading.Lock()
         self._backend = None
         self._slots = None
@@ -101,7 +106,9 @@
                 old_slots.resize(announcement.slots)
             else:
                 self._slots = SlotQueue(
-                    announcement.slots, self._queue_length, self._clock
+                    announcement.slots,
+                    self._length_for(announcement.slots),
+                    self._clock,
                 )
             self._backend = backend
             self._announcement = announcement
@@ -114,6 +121,15 @@
         if previous is not None:
             previous.close()
 
+    def _length_for(self, slots):
+        """Return how many calls may wait in front of so many slots.
+
+        Load pattern: lasting overload. A line that takes longer to drain than an
+        objective makes every call late and turns away those in it after a wait;
+        a short one keeps the slots as busy.
+        """
+        return int(min(self._queue_length, self._queue_per_slot * slots))
+
     def _is_belated(self, announcement):
         # A heartbeat of a server that left does not bring it back; another
         # instance does, or an announcement that is no heartbeat.
@@ -222,6 +238,7 @@
             call.objective,
             self._run_seconds.get(call.route, 0.0),
         )
+        arrived = self._clock.monotonic()
         admission = slots.acquire(rank, may_wait=not is_beyond_plan)
         if not admission.is_granted:
             log_event(
@@ -234,12 +251,17 @@
                 waiting=slots.waiting,
                 retry_after=round(admission.retry_after, 3),
             )
-            return self._refused(call, admission, is_beyond_plan, slots.load)
+            load = self._load_for_next(slots, rank, arrived)
+            return self._refused(call, admission, is_beyond_plan, load)
         try:
             answer = self._run_observed(call, backend, time_left)
         finally:
             slots.release(admission)
-        return replace(answer, load=slots.load)
+        return replace(answer, load=self._load_for_next(slots, rank, arrived))
+
+    def _load_for_next(self, slots, rank, arrived):
+        waited = self._clock.monotonic() - arrived
+        return slots.load_ahead(rank.renewed(waited))
 
     def _refused(self, call, admission, is_beyond_plan, load):
         time_left = call.deadline - self._clock.monotonic()
--- a/rattanworks/admission/waiting.py
+++ b/rattanworks/admission/waiting.py
@@ -4,9 +4,15 @@
 calls.
 """
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 
 NO_OBJECTIVE = 0.0
+# What a late answer is worth beside a prompt one; half is what callers' reports
+# of served requests count it.
+LATE_WORTH = 0.5
+# Runs below this are alike: a hop between nodes takes as long.
+LEAST_RUN_SECONDS = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,19 +41,36 @@
             return self.latest_start
         return min(self.objective, self.deadline) - self.expected_seconds
 
+    def renewed(self, seconds):
+        """Return the rank of a like call that comes so many seconds later."""
+        objective = self.objective
+        if objective != NO_OBJECTIVE:
+            objective += seconds
+        return replace(self, deadline=self.deadline + seconds, objective=objective)
+
 
 def order_key(rank, now):
     """Return the key by which waiting calls are sorted, the next one first.
 
-    Load pattern: a queue that stands for longer than an objective. Served first
-    come first, every call would be late; so among calls of one priority those
-    that can still meet their objective go first, the most urgent at the front,
-    and the late ones get the slots that are left. Short calls that others wait
-    for have the earliest objectives and pass long ones.
+    Load pattern: a queue that stands for longer than an objective, in which calls
+    of backend servers wait beside requests from outside. Served first come first,
+    every call would be late; and a call that another run waits for, turned away
+    for a longer one, has that run end in vain. So among calls of one priority
+    those go first that keep a slot for the shortest time for what their answer is
+    worth (weighted shortest processing time), a late answer counting half. Among
+    like ones the most urgent goes first.
     """
     is_late = rank.prompt_start < now
     start = rank.latest_start if is_late else rank.prompt_start
-    return (rank.is_beyond_plan, rank.priority, is_late, start)
+    return (rank.is_beyond_plan, rank.priority, _cost_class(rank, is_late), start)
+
+
+def _cost_class(rank, is_late):
+    """Return the class of a call's slot time for its worth, in powers of two."""
+    seconds = max(LEAST_RUN_SECONDS, rank.expected_seconds)
+    if is_late:
+        seconds /= LATE_WORTH
+    return round(math.log2(seconds))
 
 
 def is_servable(rank, now, wait_seconds):
--- /dev/null
+++ b/rattanworks/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Model of services, callers and nodes under load, without processes."""
--- /dev/null
+++ b/rattanworks/bench/load/entry.py
@@ -0,0 +1,153 @@
+"""The entry of a model node: the product's choice and retries, without threads."""
+
+import itertools
+from dataclasses import replace
+
+from rattanworks.admission.return_time import return_seconds
+from rattanworks.bench.load.nodes import FULL_STATUS, VERSION
+from rattanworks.model.call import Call, Outcome, refusal
+from rattanworks.model.route import RouteKind
+from rattanworks.routing.attempts import Attempt, Attempts
+from rattanworks.routing.entry import NO_ENDPOINT_RETRY_AFTER_SECONDS
+from rattanworks.routing.failure_share import FailureShare
+from rattanworks.routing.retries import (
+    FIRST_SERVER_FAULT,
+    RetryBudget,
+    RetryPolicy,
+    RetrySettings,
+)
+
+# One way, with what the nodes spend on it; the order of a rack's network.
+OWN_HOP_SECONDS = 0.0005
+NEAR_HOP_SECONDS = 0.002
+FAR_HOP_SECONDS = 0.0035
+MOST_OFFERS = 2
+MESH_BURST = 30.0
+METHOD_BY_KIND = {RouteKind.IDEMPOTENT: "GET"}
+
+
+class ModelEntry:
+    """Takes requests that begin at one node to endpoints and back."""
+
+    def __init__(self, node, nodes, kinds_by_name, chooser, ledger, timeline, rng):
+        self._node = node
+        self._nodes_by_name = {other.name: other for other in nodes}
+        self._endpoints_by_service = _endpoints_by_service(nodes)
+        self._kinds_by_name = kinds_by_name
+        self._chooser = chooser
+        self._ledger = ledger
+        self._timeline = timeline
+        self._random = rng
+        settings = RetrySettings(mesh_burst=MESH_BURST)
+        self._budget = RetryBudget(timeline, settings, lambda: len(nodes))
+        self._failures = FailureShare(timeline)
+        self._policy = RetryPolicy(self._budget, self._failures)
+        self._numbers = itertools.count()
+
+    def begin(self, kind_name, deadline, done):
+        """Answer a request of a kind; ``done`` takes the Answer."""
+        kind = self._kinds_by_name[kind_name]
+        now = self._timeline.monotonic()
+        call = Call(
+            request_id=f"{self._node.name}-{next(self._numbers)}",
+            customer="",
+            plan="",
+            priority=kind.priority,
+            service=kind.service,
+            route=kind.name,
+            method=METHOD_BY_KIND.get(kind.route_kind, "POST"),
+            target="/",
+            headers=(),
+            body=b"",
+            deadline=min(deadline, now + kind.timeout),
+            version=VERSION,
+            objective=now + kind.objective,
+            kind=kind.route_kind,
+        )
+        self._budget.count_call(kind.service)
+        self._next(call, kind, Attempts(MOST_OFFERS), None, done)
+
+    def _next(self, call, kind, attempts, ran, done):
+        record = self._chooser.choose(
+            self._endpoints_by_service[kind.service],
+            attempts.tried_nodes,
+            kind.request_bytes,
+            attempts.is_refused_unsent,
+            kind.name,
+        )
+        if record is None:
+            done(ran or self._none_left(call))
+            return
+        owner = self._nodes_by_name[record.node]
+        hop = self._hop(owner, kind)
+        self._chooser.started(record)
+        started = self._timeline.monotonic()
+
+        def arrive():
+            if owner.is_gone:
+                unreached = Attempt(self._none_left(call), is_unreached=True)
+                self._timeline.after(hop, ended, unreached)
+            else:
+                self._ledger.note_arrival(kind, call.is_repeat)
+                owner.dispatch(call, kind, answered)
+
+        def answered(answer):
+            self._timeline.after(hop, ended, Attempt(answer))
+
+        def ended(attempt):
+            self._note(record, attempt, started, kind)
+            attempts.note(record.node, attempt)
+            self._after(call, kind, attempts, ran, attempt, done)
+
+        self._timeline.after(hop, arrive)
+
+    def _after(self, call, kind, attempts, ran, attempt, done):
+        answer = attempt.answer
+        if answer.outcome != Outcome.NOT_RUN:
+            ran = answer
+        is_late = self._timeline.monotonic() >= call.deadline
+        if (
+            is_late
+            or not attempts.are_left
+            or not self._policy.is_tried_again(call, attempt, may_retry=True)
+        ):
+            done(ran if ran and answer.outcome == Outcome.NOT_RUN else answer)
+            return
+        again = replace(call, is_repeat=attempts.is_sent)
+        self._next(again, kind, attempts, ran, done)
+
+    def _note(self, record, attempt, started, kind):
+        if attempt.is_unreached:
+            self._chooser.avoid(record)
+            self._chooser.ended(record, None, True, None, kind.name)
+            self._failures.note(kind.service, True)
+            return
+        answer = attempt.answer
+        is_done = answer.outcome == Outcome.DONE
+        is_failed = is_done and answer.status >= FIRST_SERVER_FAULT
+        seconds = self._timeline.monotonic() - started if is_done else None
+        self._chooser.ended(record, answer.load, is_failed, seconds, kind.name)
+        self._failures.note(kind.service, is_failed)
+
+    def _none_left(self, call):
+        left = call.deadline - self._timeline.monotonic()
+        seconds = return_seconds(
+            NO_ENDPOINT_RETRY_AFTER_SECONDS, left, self._random.random()
+        )
+        return refusal(FULL_STATUS, "no endpoint takes calls now", seconds)
+
+    def _hop(self, owner, kind):
+        if owner is self._node:
+            return OWN_HOP_SECONDS
+        if owner.host.failure_domain == self._node.host.failure_domain:
+            return NEAR_HOP_SECONDS
+        self._ledger.note_crossing(kind)
+        return FAR_HOP_SECONDS
+
+
+def _endpoints_by_service(nodes):
+    services = {node.service.name for node in nodes}
+    return {
+        service: tuple(n.record for n in nodes if n.service.name == service)
+        for service in services
+    }
--- /dev/null
+++ b/rattanworks/bench/load/policy.py
@@ -0,0 +1,58 @@
+"""Policies that the experiments compare."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from rattanworks.admission.waiting import order_key
+from rattanworks.routing.choice import ChoiceSettings
+
+# As deploy/node.toml has it.
+QUEUE_PER_SLOT = 1.0
+
+
+def first_come_first_served(rank, now):
+    """Return the key of waiting calls by priority, then by arrival."""
+    return (rank.is_beyond_plan, rank.priority)
+
+
+def earliest_deadline_first(rank, now):
+    """Return the key of waiting calls by priority, then by deadline."""
+    return (rank.is_beyond_plan, rank.priority, rank.deadline)
+
+
+def prompt_first(rank, now):
+    """Return the key of waiting calls: prompt ones first, the most urgent first."""
+    is_late = rank.prompt_start < now
+    start = rank.latest_start if is_late else rank.prompt_start
+    return (rank.is_beyond_plan, rank.priority, is_late, start)
+
+
+def newest_first(rank, now):
+    """Return the key of waiting calls by priority, the latest deadline first."""
+    return (rank.is_beyond_plan, rank.priority, -rank.deadline)
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """How nodes decide in a trial; the defaults are the product's own."""
+
+    name: str = "product"
+    order: Callable = order_key
+    queue_per_slot: float = QUEUE_PER_SLOT
+    choice: ChoiceSettings = field(default_factory=ChoiceSettings)
+
+
+POLICIES_BY_NAME = {
+    policy.name: policy
+    for policy in (
+        Policy(),
+        Policy("first_come_first_served", first_come_first_served),
+        Policy("earliest_deadline_first", earliest_deadline_first),
+        Policy("newest_first", newest_first),
+        Policy("prompt_first", prompt_first),
+        Policy("no_queue", queue_per_slot=0.0),
+        Policy("long_queue", queue_per_slot=3.0),
+        Policy("no_margin", choice=ChoiceSettings(farther_margin=0.0)),
+        Policy("near_only", choice=ChoiceSettings(spill_cost=1e9)),
+    )
+}
--- a/rattanworks/model/call.py
+++ b/rattanworks/model/call.py
@@ -105,9 +105,10 @@
 class Answer:
     """The answer to a call.
 
-    ``load`` is the fraction of the owner's slots in use (above 1 when calls
-    queue); ``retry_after`` is in seconds, 0 for none. ``is_offered`` tells that
-    the call was sent to a backend server, whatever became of it.
+    ``load`` is the part of the owner's slots that a like call would now find taken,
+    above 1 when calls would be in front of it in the queue; ``retry_after`` is in
+    seconds, 0 for none. ``is_offered`` tells that the call was sent to a backend
+    server, whatever became of it.
     """
 
     status: int
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -184,7 +184,12 @@
     spreader.on_handed_on = gossiper.tell_head
     tables = RoutingTables(configuration, members, services)
     owner = Owner(
-        members, tables, PlanLimits(clock), clock, settings.traffic.queue_length
+        members,
+        tables,
+        PlanLimits(clock),
+        clock,
+        settings.traffic.queue_length,
+        settings.traffic.queue_per_slot,
     )
     chooser = EndpointChooser(settings.host, clock, lambda: owner.load)
     claims = RoutedClaims(PagedClaims(store, clock), members, peers, clock)
--- a/rattanworks/routing/choice.py
+++ b/rattanworks/routing/choice.py
@@ -3,6 +3,7 @@
 import random
 import threading
 from collections import Counter
+from dataclasses import dataclass
 
 from rattanworks.routing.outliers import OutlierDetector
 from rattanworks.routing.speeds import Speeds
@@ -14,43 +15,55 @@
 SLOW_START_LEAST_SHARE = 0.1
 # What an answer says of the load fades: a queue drains within some hundred ms.
 LOAD_MEMORY_SECONDS = 0.5
-# Cost at which no slot is free: only then may a nearer group be left.
-SPILL_COST = 1.0
-# After a refusal a call goes only where room is likely: past this cost the next
-# endpoint would refuse it as well.
-ROOM_COST = 1.5
-# A farther group must be so much better, in parts of an endpoint's slots: when all
-# are loaded alike, calls stay near.
-FARTHER_MARGIN = 1.0
-# Bodies above this size cost more to carry than a short wait; for them the margin
-# is two whole sets of slots.
+# Load and the time at which it was seen.
+NO_LOAD = (0.0, 0.0)
+# Loads by node and route; past the bound all are learned anew.
+MAX_LOADS = 8192
+# Bodies above this size cost more to carry than a short wait.
 LARGE_BODY_BYTES = 16 * 1024
-LARGE_BODY_MARGIN = 2.0
 OWN_LOAD_LIMIT = 0.75
 
 
+@dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """Costs and margins of the choice, in parts of an endpoint's slots.
+
+    ``spill_cost`` is the cost at which no slot is free: only then may a nearer
+    group be left. After a refusal a call goes only where room is likely: past
+    ``room_cost`` the next endpoint would refuse it as well. A farther group must
+    be better by ``farther_margin``, so that calls stay near when all are loaded
+    alike, for large bodies by ``large_body_margin``.
+    """
+
+    spill_cost: float = 1.0
+    room_cost: float = 1.5
+    farther_margin: float = 1.0
+    large_body_margin: float = 2.0
+
+
 class EndpointChooser:
     """Picks the less loaded of two random endpoints, nearer ones first.
 
     An endpoint's cost is the larger of the node's own calls in flight and the
-    load that its latest answer carried, both as fractions of its slots, times how
-    slow it is: the load counts the node's own calls too. A nearer group is left
-    once the better candidate of it costs SPILL_COST, for one that is better by a
-    margin. ``own_load()`` is the load of this node's own endpoint.
+    load that the latest answer of the route carried, both as fractions of its
+    slots, times how slow it is: the load counts the node's own calls too. A nearer
+    group is left once the better candidate of it costs ``spill_cost``, for one that
+    is better by a margin. ``own_load()`` is the load of this node's own endpoint.
 
     Load pattern: overload everywhere. Without the margin, calls are sent to other
     failure domains only to be refused by queues as full as the near ones.
     """
 
-    def __init__(self, host, clock, own_load=None, rng=None):
+    def __init__(self, host, clock, own_load=None, rng=None, settings=None):
         self._host = host
         self._clock = clock
         self._own_load = own_load
         self._random = rng or random.Random()
+        self._settings = settings or ChoiceSettings()
         self._lock = threading.Lock()
         self._outliers = OutlierDetector(clock)
         self._in_flight_by_node = Counter()
-        self._load_by_node = {}
+        self._loads_by_key = {}
         self._speeds = Speeds()
         self._avoided_until_by_node = {}
         self._avoidances_by_node = Counter()
@@ -58,7 +71,7 @@
         self._seen_at_by_start = {}
         self._last_warm_at = 0.0
 
-    def choose(self, endpoints, tried=(), body_bytes=0, needs_room=False):
+    def choose(self, endpoints, tried=(), body_bytes=0, needs_room=False, route=""):
         """Return an endpoint that was not tried, or None.
 
         With ``needs_room`` one that is likely to refuse the call is no choice.
@@ -74,16 +87,16 @@
         if own is not None:
             return own
         is_large = body_bytes > LARGE_BODY_BYTES
-        margin = LARGE_BODY_MARGIN if is_large else FARTHER_MARGIN
+        settings = self._settings
+        margin = settings.large_body_margin if is_large else settings.farther_margin
         best, best_cost = None, None
         for group in self._nearest_first(usable):
-            candidate = self._better_of_two(group)
-            cost = self._cost(candidate)
-            if best is None or cost <= best_cost - margin:
+            candidate, cost = self._better_of_two(group, route)
+            if best is None or cost <= min(best_cost - margin, settings.room_cost):
                 best, best_cost = candidate, cost
-            if best_cost < SPILL_COST:
+            if best_cost < settings.spill_cost:
                 break
-        return None if needs_room and best_cost > ROOM_COST else best
+        return None if needs_room and best_cost > settings.room_cost else best
 
     def _usable(self, endpoints, tried):
         now = self._clock.monotonic()
@@ -111,10 +124,12 @@
         groups.append(usable)
         return [group for group in groups if group]
 
-    def _better_of_two(self, group):
+    def _better_of_two(self, group, route):
         pool = self._warm(group)
         candidates = self._random.sample(pool, min(CANDIDATES, len(pool)))
-        return min(candidates, key=self._cost)
+        costs = [self._cost(record, route) for record in candidates]
+        least = min(costs)
+        return candidates[costs.index(least)], least
 
     def _warm(self, group):
         """Return the group without those new endpoints that sit this call out."""
@@ -149,8 +164,8 @@
         with self._lock:
             self._in_flight_by_node[record.node] += 1
 
-    def ended(self, record, load=None, is_failed=False, seconds=None):
-        """Count a call's end and the load its answer carried.
+    def ended(self, record, load=None, is_failed=False, seconds=None, route=""):
+        """Count a call's end and the load its answer carried for its route.
 
         ``seconds`` is how long a backend server's answer took, None without one.
         """
@@ -160,11 +175,17 @@
         with self._lock:
             self._in_flight_by_node[node] -= 1
             if load is not None:
-                self._load_by_node[node] = (load, self._clock.monotonic())
+                self._note_load(node, route, load)
                 self._avoidances_by_node.pop(node, None)
                 self._avoided_until_by_node.pop(node, None)
         self._outliers.record(node, is_failed)
 
+    def _note_load(self, node, route, load):
+        key = (node, route)
+        if len(self._loads_by_key) >= MAX_LOADS and key not in self._loads_by_key:
+            self._loads_by_key.clear()
+        self._loads_by_key[key] = (load, self._clock.monotonic())
+
     def avoid(self, record):
         """Send no new calls to an unreachable endpoint, longer each time."""
         with self._lock:
@@ -177,9 +198,9 @@
     def _is_avoided(self, record, now):
         return now < self._avoided_until_by_node.get(record.node, 0.0)
 
-    def _cost(self, record):
+    def _cost(self, record, route):
         in_flight = self._in_flight_by_node[record.node] / max(1, record.slots)
-        load, seen_at = self._load_by_node.get(record.node, (0.0, 0.0))
+        load, seen_at = self._loads_by_key.get((record.node, route), NO_LOAD)
         age = self._clock.monotonic() - seen_at
         load *= max(0.0, 1.0 - age / LOAD_MEMORY_SECONDS)
         return max(in_flight, load) * self._speeds.factor(record.node, record.service)
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -25,6 +25,7 @@
 from rattanworks.routing.retries import (
     FIRST_SERVER_FAULT,
     RetryBudget,
+    RetryPolicy,
     is_retriable,
 )
 from rattanworks.utils.logging import log_event
@@ -94,6 +95,7 @@
         self._budget = budget or RetryBudget(clock)
         self._caller_service = caller_service
         self._failures = FailureShare(clock)
+        self._policy = RetryPolicy(self._budget, self._failures)
         self.observer = None
 
     def handle(self, request):
@@ -231,6 +233,7 @@
                 attempts.tried_nodes,
                 len(call.body),
                 attempts.is_refused_unsent,
+                call.route,
             )
             if record is None:
                 break
@@ -248,18 +251,7 @@
     def _is_tried_again(self, call, attempt, may_retry, attempts):
         if self._is_too_late(call) or not attempts.are_left:
             return False
-        if attempt.is_unreached:
-            # Nothing ran and nobody was there to be loaded: only another choice.
-            return True
-        if not may_retry or not is_retriable(call, attempt.answer):
-            return False
-        if not attempt.answer.is_offered:
-            # The owner refused it unsent: its backend server has no load by it.
-            return True
-        has_run = attempt.answer.outcome != Outcome.NOT_RUN
-        if has_run and not self._failures.may_repeat(call.service):
-            return False
-        return self._budget.take(call.service)
+        return self._policy.is_tried_again(call, attempt, may_retry)
 
     def _log(self, call, record, attempt):
         answer = attempt.answer
@@ -306,7 +298,7 @@
             self._note_unreachable(record)
             return Attempt(unknown_outcome(error.status, str(error)))
         finally:
-            self._chooser.ended(record, load, is_failed, seconds)
+            self._chooser.ended(record, load, is_failed, seconds, call.route)
             self._failures.note(call.service, is_failed)
 
     def _note_unreachable(self, record):
--- a/rattanworks/routing/retries.py
+++ b/rattanworks/routing/retries.py
@@ -96,6 +96,29 @@
         return self.settings.burst_among(self._count_entries())
 
 
+class RetryPolicy:
+    """Decides whether a call goes to one more endpoint after an attempt."""
+
+    def __init__(self, budget, failures):
+        self._budget = budget
+        self._failures = failures
+
+    def is_tried_again(self, call, attempt, may_retry):
+        """Tell whether the call is sent again; takes from the budget if need be."""
+        if attempt.is_unreached:
+            # Nothing ran and nobody was there to be loaded: only another choice.
+            return True
+        if not may_retry or not is_retriable(call, attempt.answer):
+            return False
+        if not attempt.answer.is_offered:
+            # The owner refused it unsent: its backend server has no load by it.
+            return True
+        has_run = attempt.answer.outcome != Outcome.NOT_RUN
+        if has_run and not self._failures.may_repeat(call.service):
+            return False
+        return self._budget.take(call.service)
+
+
 def is_retriable(call, answer):
     """Tell whether running the call again can do no harm and may help."""
     if answer.outcome == Outcome.NOT_RUN:
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -76,6 +76,9 @@
 class TrafficSettings:
     """Limits on calls.
 
+    At most ``queue_length`` calls wait for a slot of the backend server, and no
+    more than ``queue_per_slot`` for each of its slots.
+
     ``large_bodies_bytes`` bounds the request bodies of more than 256 KiB that
     the node holds at once.
     """
@@ -84,6 +87,7 @@
     max_body_bytes: int
     large_bodies_bytes: int
     queue_length: int
+    queue_per_slot: float
     callers_threads: int
     local_threads: int
     peers_threads: int
@@ -190,12 +194,13 @@
             128 * MEBIBYTE, MEBIBYTE, 4096 * MEBIBYTE, whole=True
         ),
         "queue_length": Number(16, 0, 10000, whole=True),
+        "queue_per_slot": Number(4.0, 0, 10000),
         "callers_threads": _threads(48),
         "local_threads": _threads(32),
         "peers_threads": _threads(256),
     },
     TrafficSettings,
-    default=TrafficSettings(5.0, 64 * MEBIBYTE, 128 * MEBIBYTE, 16, 48, 32, 256),
+    default=TrafficSettings(5.0, 64 * MEBIBYTE, 128 * MEBIBYTE, 16, 4.0, 48, 32, 256),
 )
 
 DRAIN = Table(
--- a/rattanworks/tests/admission/slots_tests.py
+++ b/rattanworks/tests/admission/slots_tests.py
@@ -4,7 +4,8 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from rattanworks.admission.slots import SlotQueue, Verdict
+from rattanworks.admission.line import Verdict
+from rattanworks.admission.slots import SlotQueue
 from rattanworks.admission.waiting import Rank
 from rattanworks.bench.fleet import wait_until
 from rattanworks.tests.fakes import FakeClock
--- a/rattanworks/tests/admission/waiting_tests.py
+++ b/rattanworks/tests/admission/waiting_tests.py
@@ -82,6 +82,15 @@
         self.assertLess(order_key(late, 0.0), order_key(prompt, 0.0))
         self.assertGreater(order_key(late, 0.6), order_key(prompt, 0.6))
 
+    def test_a_short_call_passes_long_ones_even_when_it_is_late(self):
+        # Its objective is the time that others wait for it, not its own use.
+        late_short = short_call(0.0)
+        for age in (0.05, 0.1):
+            with self.subTest(age=age):
+                self.assertLess(
+                    order_key(late_short, age), order_key(long_call(age - 0.2), age)
+                )
+
     def test_plan_and_priority_go_before_time(self):
         now = 0.0
         urgent = Rank(False, 2, 1.0, 0.1)
--- a/rattanworks/tests/routing/choice_tests.py
+++ b/rattanworks/tests/routing/choice_tests.py
@@ -122,6 +122,14 @@
     def test_calls_stay_near_when_all_are_loaded_alike(self):
         self.assertEqual(self.choose(3.0, 2.8), "qc-est-a")
 
+    def test_a_farther_endpoint_is_chosen_only_where_there_is_room(self):
+        self.assertEqual(self.choose(6.0, 2.0), "qc-est-a")
+        self.assertEqual(self.choose(6.0, 1.4), "qc-est-b")
+
+    def test_the_load_in_front_of_other_routes_does_not_send_a_call_far(self):
+        self.assertEqual(self.choose(3.0, 0.9), "qc-est-b")
+        self.assertEqual(self.choose(3.0, 0.9, route="checks"), "qc-est-a")
+
     def test_a_refused_call_goes_only_where_there_is_room(self):
         self.assertIsNone(self.choose(3.0, 2.8, tried=["node-0"], needs_room=True))
         self.assertEqual(
