Do not send on for callers who left while the process stood still

When they were read at last, their callers had gone, which the reading thread learns only after the request.

Change: the caller's end is looked at before a call is sent; a call that is late or abandoned at the start is not sent at all; past 1,000 connections each answer closes its own.

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -7,7 +7,7 @@
 from rattanworks.model.call import Outcome, refusal
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.utils.headers import request_headers
-from rattanworks.utils.http_parts import RECEIVED_AT_KEY
+from rattanworks.utils.http_parts import HAS_LEFT_KEY, RECEIVED_AT_KEY
 from rattanworks.utils.wsgi import (
     Response,
     body_of,
@@ -130,7 +130,7 @@
                     deadline=received_at + timeout,
                     idempotency_key=dialect.idempotency_key(environ),
                     is_retried_outside=dialect.is_retried_outside(environ),
-                    is_abandoned=environ.get("waitress.client_disconnected", _never),
+                    is_abandoned=_is_abandoned(environ),
                     host=environ.get("HTTP_HOST", ""),
                     received_at=received_at,
                 )
@@ -140,5 +140,15 @@
                 body.release()
 
 
+def _is_abandoned(environ):
+    if environ.get(HAS_LEFT_KEY, _never)():
+        return _always
+    return environ.get("waitress.client_disconnected", _never)
+
+
 def _never():
     return False
+
+
+def _always():
+    return True
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -318,7 +318,7 @@
     def serve(app, port, threads, max_body, name):
         return HttpServer(app, listen.host, port, threads, max_body, name, budget)
 
-    return {
+    servers = {
         "callers": serve(
             callers, listen.callers_port, traffic.callers_threads, body, "callers"
         ),
@@ -328,6 +328,12 @@
             node_admin, listen.admin_port, ADMIN_THREADS, ADMIN_MAX_BODY_BYTES, "admin"
         ),
     }
+    if listen.metrics_port:
+        # Whoever asks for readiness must not wait for a long page of metrics.
+        servers["metrics"] = serve(
+            node_admin, listen.metrics_port, 1, ADMIN_MAX_BODY_BYTES, "metrics"
+        )
+    return servers
 
 
 def _peers_server(node):
--- a/rattanworks/platform/settings.py
+++ b/rattanworks/platform/settings.py
@@ -40,7 +40,8 @@
 
     ``callers`` takes requests of callers and of the backend server, ``reports``
     the backend server's heartbeats, ``peers`` calls of other nodes, ``ready``
-    the platform's question whether the node is ready. ``backend`` is the
+    the platform's question whether the node is ready, ``metrics`` is the port of
+    the metrics, 0 for none. ``backend`` is the
     backend server's address; ``bounds`` are texts such as ``grace=6s``.
     """
 
@@ -49,6 +50,7 @@
     reports: str
     peers: str
     ready: str
+    metrics: int
     ports: tuple[int, ...]
     backend: str
     heartbeat: str
@@ -63,6 +65,7 @@
         "reports": Address(),
         "peers": Address(),
         "ready": Address(),
+        "metrics": Number(0, 0, MAX_PORT, whole=True),
         "ports": ListOf(Number(0, 0, MAX_PORT, whole=True)),
         "backend": Address(),
         "heartbeat": Text(),
@@ -127,6 +130,7 @@
         peers_port=port(table.peers),
         control_port=table.ports[CONTROL_PORT_INDEX],
         admin_port=port(table.ready),
+        metrics_port=table.metrics,
     )
     return dataclasses.replace(node, listen=listen)
 
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -223,6 +223,8 @@
         return self._run(replace(call, version=fallback), target, may_retry, attempts)
 
     def _run(self, call, target, may_retry, attempts):
+        if self._is_too_late(call):
+            return refusal(504, "the caller has gone, or its time was up at the start")
         ran = None
         answer = refusal(
             503, "no endpoint takes calls now", self._return_seconds(call.deadline)
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -35,7 +35,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ListenSettings:
-    """Where the node listens; port 0 takes any free port."""
+    """Where the node listens; port 0 takes any free port.
+
+    ``metrics_port``, unless 0, has a listener of its own beside the admin one.
+    """
 
     host: str
     callers_port: int
@@ -43,6 +46,7 @@
     peers_port: int
     control_port: int
     admin_port: int
+    metrics_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +158,7 @@
         "peers_port": _port(),
         "control_port": _port(),
         "admin_port": _port(),
+        "metrics_port": _port(),
     },
     ListenSettings,
     default=ListenSettings("127.0.0.1", 0, 0, 0, 0, 0),
--- a/rattanworks/tests/adapters/callers_tests.py
+++ b/rattanworks/tests/adapters/callers_tests.py
@@ -2,6 +2,7 @@
 import threading
 import time
 import unittest
+import unittest.mock
 from concurrent.futures import ThreadPoolExecutor
 
 from rattanworks.adapters.http_callers import CallersApp
@@ -11,6 +12,7 @@
 from rattanworks.exceptions import CallNotSentError
 from rattanworks.model.call import Answer
 from rattanworks.tests.servers import exchange_raw
+from rattanworks.utils import http_parts
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.idle import wait_until_idle
 from rattanworks.utils.memory_budget import MemoryBudget
@@ -78,6 +80,18 @@
         self.assertEqual(self.entry.requests, [])
         self.assert_still_serves()
 
+    def test_a_caller_who_left_before_the_request_was_read_is_known_to_have_left(self):
+        # As after a pause of the process: request and end wait side by side.
+        with unittest.mock.patch.object(
+            http_parts, "is_closed_by_peer", return_value=True
+        ):
+            self.assert_still_serves()
+        self.assertTrue(self.entry.requests[0].is_abandoned())
+
+    def test_a_caller_who_waits_is_not_taken_for_one_who_left(self):
+        self.assert_still_serves()
+        self.assertFalse(self.entry.requests[0].is_abandoned())
+
     def test_own_and_hop_by_hop_headers_do_not_pass(self):
         dropped = "Connection: close, X-Secret\r\nX-Secret: 1\r\nTE: trailers\r\n"
         smuggled = "Rattanworks-Call: {}\r\nX-Not-Run: 1\r\nX-Request-Outcome: done\r\n"
--- a/rattanworks/tests/deploy_tests.py
+++ b/rattanworks/tests/deploy_tests.py
@@ -20,3 +20,10 @@
         (role,) = read_toml("deploy/system.toml")["roles"].values()
         self.assertEqual(role["serves"], ["sidecar"])
         self.assertTrue((ROOT / role["template"]).exists())
+
+    def test_metrics_are_served_where_the_platform_fetches_them(self):
+        (role,) = read_toml("deploy/system.toml")["roles"].values()
+        port, _, path = role["metrics"].partition("/")
+        template = (ROOT / role["template"]).read_text("utf-8")
+        self.assertEqual(path, "metrics")
+        self.assertIn(f"\nmetrics = {port}\n", template)
--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -1,8 +1,10 @@
 import http.client
 import threading
 import unittest
+import unittest.mock
 
 from rattanworks.bench.fleet import wait_until
+from rattanworks.utils import http_parts
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.wsgi import Response, path_of, respond
 
@@ -32,6 +34,21 @@
         self.addCleanup(connection.close)
         return connection
 
+    def test_a_crowded_server_closes_each_connection_after_its_answer(self):
+        connection = self.connect()
+        connection.request("GET", "/first")
+        answer = connection.getresponse()
+        self.assertEqual(answer.read(), b"whole")
+        self.assertIsNone(answer.headers["Connection"])
+        with unittest.mock.patch.object(http_parts, "CROWDED_CONNECTIONS", 0):
+            connection.request("GET", "/second")
+            answer = connection.getresponse()
+        self.assertEqual(answer.read(), b"whole")
+        self.assertEqual(answer.headers["Connection"], "close")
+        wait_until(
+            lambda: not self.server.has_connections, LIMIT_SECONDS, "it is closed"
+        )
+
     def test_idle_connections_close_and_a_running_request_is_answered(self):
         idle, busy = self.connect(), self.connect()
         idle.request("GET", "/first")
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -8,10 +8,16 @@
 from waitress.task import WSGITask
 from waitress.utilities import Error
 
+from rattanworks.utils.sockets import is_closed_by_peer
+
 LARGE_BODY_BYTES = 256 * 1024
 CHUNKED_STEP_BYTES = 1024 * 1024
 JOINED_BYTES = 64 * 1024
 RETRY_AFTER_SECONDS = 2
+# Past it each answer closes its connection: half of the server's limit, at which
+# new callers would wait unseen.
+CROWDED_CONNECTIONS = 1000
+HAS_LEFT_KEY = "rattanworks.has_left"
 RECEIVED_AT_KEY = "rattanworks.received_at"
 
 
@@ -87,11 +93,18 @@
         """Return the WSGI environment with the time of the first byte."""
         environ = super().get_environment()
         environ[RECEIVED_AT_KEY] = self.request.received_at
+        environ[HAS_LEFT_KEY] = self._has_left
         return environ
 
+    def _has_left(self):
+        # A process that stood still reads requests of callers who left meanwhile;
+        # the end of the connection is read only after them.
+        return is_closed_by_peer(self.channel.socket)
+
     def build_response_header(self):
         """Return the response's head."""
-        if self.channel.server.is_draining:
+        server = self.channel.server
+        if server.is_draining or len(server.active_channels) > CROWDED_CONNECTIONS:
             self.set_close_on_finish()
         return super().build_response_header()
 
--- a/rattanworks/utils/sockets.py
+++ b/rattanworks/utils/sockets.py
@@ -42,3 +42,13 @@
         ),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def is_closed_by_peer(sock):
+    """Tell whether the other side has closed; bytes that wait are not read."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
