--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -4,6 +4,8 @@
 
 from rattanworks.adapters.peer_clock import CLOCK_REQUEST, ClockGap, decode_clock
 from rattanworks.adapters.peer_messages import (
+    FAR_INLINE_BODY_BYTES,
+    INLINE_BODY_BYTES,
     PROCEED_STATUS,
     answer_of,
     decode_answer,
@@ -31,10 +33,15 @@
 
 
 class FramePeerCalls(PeerCalls):
-    """Each call has a connection to itself while it runs."""
+    """Each call has a connection to itself while it runs.
 
-    def __init__(self, sender, clock):
+    ``failure_domain`` is the own one, where bodies travel at little cost; empty
+    when it is not known.
+    """
+
+    def __init__(self, sender, clock, failure_domain=""):
         self._sender = sender
+        self._failure_domain = failure_domain
         self._clock = clock
         self._idle_by_address = {}
         self._lock = threading.Lock()
@@ -62,17 +69,28 @@
         return answer
 
     def _exchange(self, connection, gap, record, call):
-        connection.send(encode_call(call, self._sender, record, gap.owner_time))
-        message = self._receive(connection, gap, call)
+        parts = encode_call(
+            call, self._sender, record, gap.owner_time, self._inline_bytes(record)
+        )
+        connection.send_parts(*parts)
+        message, body = self._receive(connection, gap, call)
         if message.status == PROCEED_STATUS:
             for piece in pieces_of(call.body):
                 connection.send(piece)
-            message = self._receive(connection, gap, call)
-        body = message.body
+            message, body = self._receive(connection, gap, call)
         if message.body_size:
             body = b"".join(receive_body(connection, message.body_size))
         return answer_of(message, body)
 
+    def _inline_bytes(self, record):
+        """Return the size up to which a body goes with its call.
+
+        Load pattern: overload, in which most calls that leave their failure domain
+        are refused there; the body of a refused call need not travel.
+        """
+        is_far = self._failure_domain not in ("", record.failure_domain)
+        return FAR_INLINE_BODY_BYTES if is_far else INLINE_BODY_BYTES
+
     def _receive(self, connection, gap, call):
         until = call.deadline + ANSWER_GRACE_SECONDS
         while not connection.wait(self._next_check(until)):
@@ -83,14 +101,15 @@
                 )
             if call.is_abandoned():
                 raise CallAbandonedError("the caller has gone; nothing to do")
-        message = decode_answer(connection.receive())
+        head, body = connection.parts_of(connection.receive())
+        message = decode_answer(head)
         if message.request_id != call.request_id:
             raise CallOutcomeUnknownError(
                 f"the owner answered request {message.request_id}; "
                 "repeat the call only if it is idempotent"
             )
         gap.note(message.owner_time, self._clock.monotonic())
-        return message
+        return message, body
 
     def _next_check(self, until):
         return min(ABANDON_CHECK_SECONDS, until - self._clock.monotonic())
--- a/rattanworks/adapters/peer_listener.py
+++ b/rattanworks/adapters/peer_listener.py
@@ -33,11 +33,11 @@
             connection.send(encode_clock(self._clock))
             return True
         try:
-            message = decode_call(frame)
+            head, body = connection.parts_of(frame)
+            message = decode_call(head)
         except DecodeError as error:
             log_event("peer-message-unreadable", reason=str(error))
             return False
-        body = message.body
         if message.body_size:
             body = StreamedBody(message.body_size, self._body_on(connection, message))
         call = call_of(
@@ -53,12 +53,12 @@
 
     def _body_on(self, connection, message):
         now = self._clock.monotonic()
-        connection.send(encode_proceed(message.request_id, now))
+        connection.send_parts(*encode_proceed(message.request_id, now))
         yield from receive_body(connection, message.body_size)
 
     def _send_answer(self, connection, request_id, answer):
         now = self._clock.monotonic()
-        connection.send(encode_answer(request_id, answer, now))
+        connection.send_parts(*encode_answer(request_id, answer, now))
         if len(answer.body) > INLINE_BODY_BYTES:
             for piece in pieces_of(answer.body):
                 connection.send(piece)
--- a/rattanworks/adapters/peer_messages.py
+++ b/rattanworks/adapters/peer_messages.py
@@ -1,6 +1,7 @@
 """Messages between entry and owner nodes on the peers listener.
 
 They are written as arrays: the names of their fields would be as long as the rest.
+A message is the head of a frame, a short body its other part.
 """
 
 import msgspec
@@ -10,6 +11,9 @@
 from rattanworks.utils.codec import decode_binary, encode_binary
 
 INLINE_BODY_BYTES = 64 * 1024
+# To another failure domain, a body that takes more bytes than asking for it does
+# is sent only once the call is admitted.
+FAR_INLINE_BODY_BYTES = 512
 PIECE_BYTES = 256 * 1024
 PROCEED_STATUS = 100
 
@@ -18,7 +22,7 @@
     """A call as the entry sends it to the owner.
 
     ``deadline`` and ``objective`` are in seconds of the owner's monotonic clock.
-    A body of more than INLINE_BODY_BYTES follows in pieces once the owner has
+    A body above the limit of its way follows in pieces once the owner has
     answered with PROCEED_STATUS; ``body_size`` is its length then, else 0.
     """
 
@@ -42,7 +46,6 @@
     objective: float = 0.0
     is_repeat: bool = False
     kind: RouteKind = RouteKind.BY_METHOD
-    body: bytes = b""
     body_size: int = 0
 
 
@@ -61,17 +64,17 @@
     retry_after: float = 0.0
     reason: str = ""
     is_offered: bool = False
-    body: bytes = b""
     body_size: int = 0
 
 
-def encode_call(call, sender, record, owner_time):
-    """Return the frame that carries a call to the owner of ``record``.
+def encode_call(call, sender, record, owner_time, inline_bytes=INLINE_BODY_BYTES):
+    """Return head and body of the frame with a call to the owner of ``record``.
 
+    A body of more than ``inline_bytes`` is left out until the owner asks for it.
     ``owner_time(own_time)`` turns a time of this node's clock into the owner's.
     """
-    is_inline = len(call.body) <= INLINE_BODY_BYTES
-    return encode_binary(
+    is_inline = len(call.body) <= inline_bytes
+    head = encode_binary(
         CallMessage(
             sender=sender,
             node=record.node,
@@ -93,15 +96,15 @@
             host=call.host,
             caller_service=call.caller_service,
             kind=call.kind,
-            body=bytes(call.body) if is_inline else b"",
             body_size=0 if is_inline else len(call.body),
         )
     )
+    return head, bytes(call.body) if is_inline else b""
 
 
-def decode_call(frame):
-    """Return the CallMessage in a frame; raise DecodeError."""
-    return decode_binary(frame, CallMessage)
+def decode_call(head):
+    """Return the CallMessage in a frame's head; raise DecodeError."""
+    return decode_binary(head, CallMessage)
 
 
 def call_of(message, body, is_abandoned):
@@ -130,9 +133,9 @@
 
 
 def encode_answer(request_id, answer, owner_time):
-    """Return the frame that carries an answer to its entry."""
+    """Return head and body of the frame with an answer to its entry."""
     is_inline = len(answer.body) <= INLINE_BODY_BYTES
-    return encode_binary(
+    head = encode_binary(
         AnswerMessage(
             request_id=request_id,
             status=answer.status,
@@ -143,20 +146,21 @@
             retry_after=answer.retry_after,
             reason=answer.reason,
             is_offered=answer.is_offered,
-            body=answer.body if is_inline else b"",
             body_size=0 if is_inline else len(answer.body),
         )
     )
+    return head, answer.body if is_inline else b""
 
 
 def encode_proceed(request_id, owner_time):
-    """Return the frame that asks the entry for the call's body."""
-    return encode_binary(AnswerMessage(request_id, PROCEED_STATUS, owner_time))
+    """Return head and body of the frame that asks the entry for the call's body."""
+    head = encode_binary(AnswerMessage(request_id, PROCEED_STATUS, owner_time))
+    return head, b""
 
 
-def decode_answer(frame):
-    """Return the AnswerMessage in a frame; raise DecodeError."""
-    return decode_binary(frame, AnswerMessage)
+def decode_answer(head):
+    """Return the AnswerMessage in a frame's head; raise DecodeError."""
+    return decode_binary(head, AnswerMessage)
 
 
 def answer_of(message, body):
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -199,7 +199,7 @@
     moves = MoveParticipant(
         members, services, store, peers, clock, evidence, settings.moves
     )
-    peer_calls = FramePeerCalls(settings.host.name, clock)
+    peer_calls = FramePeerCalls(settings.host.name, clock, settings.host.failure_domain)
     if injector:
         peer_calls = FaultyPeerCalls(peer_calls, injector, clock)
     retry_budget = RetryBudget(clock, settings.retries, lambda: len(members.by_node))
--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -98,6 +98,36 @@
         self.assertEqual(self.dispatch(body=LARGE_BODY).status, 413)
         self.assertEqual(self.dispatch(body=LARGE_BODY).status, 413)
 
+    def bytes_to_refuse(self, own_domain):
+        """Return how many bytes of a body came with a call that was refused."""
+        seen = []
+
+        def refuse(message, call):
+            seen.append(message.body_size or len(call.body))
+            seen.append(0 if message.body_size else len(call.body))
+            return refusal(503, "full")
+
+        self.serve(refuse)
+        self.calls = FramePeerCalls("entry", self.clock, own_domain)
+        self.addCleanup(self.calls.close)
+        answer = self.dispatch(method="POST", body=bytes(1200))
+        self.assertEqual((answer.status, seen[0]), (503, 1200))
+        return seen[1]
+
+    def test_the_body_of_a_call_that_is_refused_far_away_does_not_travel(self):
+        record = build_record("owner")
+        self.assertEqual(self.bytes_to_refuse(record.failure_domain), 1200)
+        self.assertEqual(self.bytes_to_refuse("another-domain"), 0)
+
+    def test_the_body_of_a_call_that_runs_far_away_comes_whole(self):
+        body = bytes(range(200)) * 6
+        self.serve(lambda message, call: Answer(200, body=b"".join(call.body)))
+        self.calls = FramePeerCalls("entry", self.clock, "another-domain")
+        self.addCleanup(self.calls.close)
+        for _ in range(2):
+            answer = self.dispatch(method="POST", body=body)
+            self.assertEqual((answer.status, answer.body), (200, body))
+
     def test_nobody_there_is_not_sent(self):
         self.record = build_record("owner", peers_address="127.0.0.1:1")
         with self.assertRaises(CallNotSentError):
@@ -129,7 +159,7 @@
     def test_another_calls_answer_is_refused(self):
         def cross(connection):
             connection.receive()
-            connection.send(encode_answer("other", Answer(200), 0.0))
+            connection.send_parts(*encode_answer("other", Answer(200), 0.0))
             return True
 
         self.listen_after_clock(cross)
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -6,6 +6,7 @@
 import threading
 from multiprocessing.connection import Connection
 
+from rattanworks.utils.compression import SharedHeads
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.sockets import PROMPT, apply_liveness
 
@@ -27,6 +28,8 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, stall)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, stall)
         self._connection = Connection(sock.detach())
+        self._sent_heads = SharedHeads()
+        self._received_heads = SharedHeads()
         self.descriptor = self._connection.fileno()
         self._poll = select.poll()
         self._poll.register(self.descriptor, select.POLLIN)
@@ -35,6 +38,14 @@
         """Send one message; raise OSError when the connection broke."""
         self._connection.send_bytes(message)
 
+    def send_parts(self, head, body):
+        """Send a message whose head is packed; raise OSError."""
+        self._connection.send_bytes(self._sent_heads.pack(head) + body)
+
+    def parts_of(self, frame):
+        """Return head and body of a message sent in parts; raise DecodeError."""
+        return self._received_heads.unpack(frame)
+
     def receive(self):
         """Return the next message; raise EOFError or OSError when there is none."""
         return self._connection.recv_bytes(MAX_FRAME_BYTES)
