--- a/rattanworks/bench/load/nodes.py
+++ b/rattanworks/bench/load/nodes.py
@@ -1,6 +1,5 @@
-"""Nodes of the model: the product's decisions in front of simulated runs."""
+"""Nodes of the model: the product's admission in front of a simulated server."""
 
-import math
 import random
 from dataclasses import dataclass, replace
 
@@ -8,21 +7,15 @@
 from rattanworks.admission.owner import RUN_WEIGHT
 from rattanworks.admission.return_time import return_seconds
 from rattanworks.admission.waiting import Rank
-from rattanworks.bench.load.scenario import TroubleKind
-from rattanworks.model.call import Answer, Outcome, refusal
+from rattanworks.bench.load.backend import ModelBackend
+from rattanworks.model.call import Outcome, refusal
 from rattanworks.model.endpoint import EndpointRecord, EndpointState
 from rattanworks.utils.weighted_mean import WeightedMeans
 
 REGION = "region"
 VERSION = "v1"
 MAX_ROUTES = 64
-SHED_RETRY_AFTER_SECONDS = 0.05
-DEADLINE_STATUS = 504
-FAILED_STATUS = 500
 FULL_STATUS = 503
-# A run in a hundred takes several times as long as its kind's usual run.
-TAIL_SHARE = 0.01
-TAIL_FACTOR = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +59,9 @@
         )
         length = round(policy.queue_per_slot * service.slots)
         self.line = WaitingLine(service.slots, length, policy.order)
+        self.backend = ModelBackend(pace, timeline, rng)
         self.entry = None
         self.is_gone = False
-        self.slow_factor = 1.0
-        self.part_by_trouble = {}
-        self._pace = pace
         self._timeline = timeline
         self._random = rng
         self._run_seconds = WeightedMeans(RUN_WEIGHT, MAX_ROUTES)
@@ -121,60 +112,14 @@
     def _run(self, call, kind, admission, done):
         started = self._timeline.monotonic()
 
-        def end(answer):
+        def ended(answer):
             now = self._timeline.monotonic()
             self.line.release(admission, now)
             if answer.outcome == Outcome.DONE:
                 self._run_seconds.note(call.route, now - started)
             done(answer)
 
-        if self._random.random() < self._part(TroubleKind.SHEDDING):
-            shed = refusal(FULL_STATUS, "shed", SHED_RETRY_AFTER_SECONDS)
-            self._timeline.after(0.0, end, replace(shed, is_offered=True))
-            return
-        is_failing = self._random.random() < self._part(TroubleKind.FAILING)
-        seconds = self._work_seconds(kind)
-        calls = kind.calls
-        if calls is None or self._random.random() >= calls.share:
-            self._finish(call, seconds, is_failing, end)
-            return
-        # The calls are made halfway through the run, which goes on once they end.
-        self._timeline.after(
-            seconds / 2, self._call_others, call, calls, seconds / 2, is_failing, end
-        )
-
-    def _call_others(self, call, calls, seconds, is_failing, end):
-        answers = []
-
-        def one_ended(answer):
-            answers.append(answer)
-            if len(answers) < calls.times:
-                return
-            is_lost = any(a.status >= FAILED_STATUS for a in answers)
-            if is_lost:
-                end(Answer(FAILED_STATUS, is_offered=True))
-            else:
-                self._finish(call, seconds, is_failing, end)
-
-        for _ in range(calls.times):
-            self.entry.begin(calls.kind, call.deadline, one_ended)
-
-    def _finish(self, call, seconds, is_failing, end):
-        left = call.deadline - self._timeline.monotonic()
-        status = FAILED_STATUS if is_failing else 200
-        if seconds > left:
-            seconds, status = max(0.0, left), DEADLINE_STATUS
-        self._timeline.after(seconds, end, Answer(status, is_offered=True))
-
-    def _part(self, trouble):
-        return self.part_by_trouble.get(trouble, 0.0)
-
-    def _work_seconds(self, kind):
-        middle = math.log(kind.work) - kind.spread**2 / 2
-        seconds = self._random.lognormvariate(middle, kind.spread)
-        if self._random.random() < TAIL_SHARE:
-            seconds *= TAIL_FACTOR
-        return seconds * self._pace * self.slow_factor
+        self.backend.run(call, kind, ended)
 
 
 def build_nodes(scenario, policy, timeline, seed):
--- a/rattanworks/bench/load/trial.py
+++ b/rattanworks/bench/load/trial.py
@@ -19,6 +19,7 @@
     nodes = build_nodes(scenario, policy, timeline, seed)
     for node in nodes:
         node.entry = _entry(node, nodes, scenario, policy, ledger, timeline, seed)
+        node.backend.entry = node.entry
     rng = random.Random(f"callers-{seed}")
     callers = Callers(scenario, nodes, ledger, timeline, rng)
     for number, trouble in enumerate(scenario.troubles):
@@ -63,8 +64,8 @@
 
 def _set_trouble(node, trouble, is_on):
     if trouble.kind == TroubleKind.SLOW:
-        node.slow_factor = trouble.factor if is_on else 1.0
+        node.backend.slow_factor = trouble.factor if is_on else 1.0
     elif trouble.kind == TroubleKind.GONE:
         node.is_gone = is_on
     elif trouble.kind in (TroubleKind.SHEDDING, TroubleKind.FAILING):
-        node.part_by_trouble[trouble.kind] = trouble.factor if is_on else 0.0
+        node.backend.part_by_trouble[trouble.kind] = trouble.factor if is_on else 0.0
