Gather log lines for 50 ms before they are written

A fifth of the samples of a busy node were in logging: its thread woke up for each line and took the interpreter from those that serve.

Change: the writing thread gathers lines for 50 ms. Test: utils.logging_tests.

--- a/rattanworks/utils/logging.py
+++ b/rattanworks/utils/logging.py
@@ -18,6 +18,9 @@
 LINES_PER_SECOND_BY_EVENT = {"call-answered": 40.0, "call-failed": 100.0}
 BURST_SECONDS = 4.0
 FLUSH_SECONDS = 1.0
+# Lines are gathered for so long before they are written: each wake-up of the
+# writing thread takes the interpreter from the threads that serve.
+GATHER_SECONDS = 0.05
 
 _HIDDEN_FIELDS = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
 _QUOTE_NEEDED = frozenset(' ="\n\r\t\\')
@@ -59,6 +62,7 @@
         self._budgets_by_event = {}
         self._dropped_by_event = Counter()
         self._is_writing = False
+        self._flush_wanted = threading.Event()
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         self._thread.start()
 
@@ -81,7 +85,7 @@
                         "count": dropped,
                     }
                 )
-            if len(self._messages) == 1 or dropped:
+            if len(self._messages) == 1 + bool(dropped):
                 self._changed.notify_all()
 
     def _budget(self, event):
@@ -97,6 +101,8 @@
             with self._changed:
                 while not self._messages:
                     self._changed.wait()
+            self._flush_wanted.wait(GATHER_SECONDS)
+            with self._changed:
                 messages, self._messages = self._messages, deque()
                 self._is_writing = True
             self._write(messages)
@@ -115,10 +121,14 @@
 
     def flush(self, timeout):
         """Wait up to ``timeout`` seconds until all that is queued was written."""
-        with self._changed:
-            return self._changed.wait_for(
-                lambda: not self._messages and not self._is_writing, timeout
-            )
+        self._flush_wanted.set()
+        try:
+            with self._changed:
+                return self._changed.wait_for(
+                    lambda: not self._messages and not self._is_writing, timeout
+                )
+        finally:
+            self._flush_wanted.clear()
 
 
 class _MonotonicClock:
