--- a/rattanworks/admission/waiting.py
+++ b/rattanworks/admission/waiting.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, replace
 
 NO_OBJECTIVE = 0.0
-# What a late answer is worth beside a prompt one; half is what callers' reports
-# of served requests count it.
+# What a late answer is worth beside a prompt one: the most that users state for
+# their kinds of requests (0.1 to 0.5).
 LATE_WORTH = 0.5
 # Runs below this are alike: a hop between nodes takes as long.
 LEAST_RUN_SECONDS = 0.001
--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -177,7 +177,7 @@
             raise
         self._services.merge((state,))
         self._learn_status(order.service)
-        log_order_status(running)
+        _log_status(running)
 
     def _tell(self, given, status):
         wanted = OrderStatus(given.order.service, given.order.to_version, status)
@@ -215,7 +215,7 @@
             self._learn_status(wanted.service)
             return
         self.take_status(entry)
-        log_order_status(wanted)
+        _log_status(wanted)
 
     def _status_write(self, wanted):
         known = self._statuses_by_service.get(wanted.service)
@@ -233,7 +233,7 @@
             self.take_status(entry)
 
 
-def log_order_status(status):
+def _log_status(status):
     """Log what has been written of an order."""
     log_event(
         "order-status",
