Let the model and the product share ranks, ends of tries and loads ahead

Read again: the model built a call's rank, the end of its tries, the judgement of a failed answer and the load for the next like call a second time. They are one piece each now (Rank.of, Attempts.final_answer, is_failed, WaitingLine.load_ahead with the arrival). The table of statuses by verdict had become one status; a field of the model's callers was never read; a record of the model was HostSettings.

On the hot path: a line without waiters computes no rank, and a slot given back looks for the first waiter instead of sorting all.

--- a/rattanworks/admission/line.py
+++ b/rattanworks/admission/line.py
@@ -86,13 +86,15 @@
         """Return calls running and waiting as a fraction of the slots."""
         return (self.running + len(self._waiters)) / max(1, self._slots)
 
-    def load_ahead(self, rank, now):
-        """Return the load that a call of this rank finds in front of it.
+    def load_ahead(self, rank, arrived, now):
+        """Return the load in front of a call that is like one that ``arrived``.
 
         Load pattern: short calls that others wait for pass a long queue. By its
         whole length they would be sent far away without need.
         """
-        key = self._order_key(rank, now)
+        if not self._waiters:
+            return self.load
+        key = self._order_key(rank.renewed(now - arrived), now)
         ahead = sum(self._order_key(w.rank, now) <= key for w in self._waiters)
         return (self.running + ahead) / max(1, self._slots)
 
@@ -142,10 +144,10 @@
             self._refuse_too_slow(order, order.index(newcomer), now)
 
     def _order(self, now):
-        return sorted(
-            self._waiters,
-            key=lambda waiter: (self._order_key(waiter.rank, now), waiter.arrival),
-        )
+        return sorted(self._waiters, key=self._place(now))
+
+    def _place(self, now):
+        return lambda waiter: (self._order_key(waiter.rank, now), waiter.arrival)
 
     def _refuse(self, waiter, verdict):
         self._waiters.remove(waiter)
@@ -161,7 +163,7 @@
 
     def _grant_waiters(self, now):
         while self._waiters and self.running < self._slots:
-            waiter = self._order(now)[0]
+            waiter = min(self._waiters, key=self._place(now))
             if waiter.rank.latest_start <= now:
                 self._refuse(waiter, Verdict.EXPIRED)
             else:
--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -32,14 +32,6 @@
 # Weight of one call in the share of repeats: some seconds of calls are remembered.
 REPEAT_WEIGHT = 0.02
 
-STATUS_BY_VERDICT = {
-    Verdict.FULL: 503,
-    Verdict.DISPLACED: 503,
-    Verdict.TOO_SLOW: 503,
-    Verdict.EXPIRED: 503,
-    Verdict.CLOSED: 503,
-}
-
 
 class Owner:
     """Admits calls to the backend server beside this node."""
@@ -231,13 +223,8 @@
 
     def _run_in_slot(self, call, slots, backend, is_beyond_plan):
         time_left = TimeLeft(self._clock, call.deadline)
-        rank = Rank(
-            is_beyond_plan,
-            call.priority,
-            call.deadline,
-            call.objective,
-            self._run_seconds.get(call.route, 0.0),
-        )
+        expected_seconds = self._run_seconds.get(call.route, 0.0)
+        rank = Rank.of(call, expected_seconds, is_beyond_plan)
         arrived = self._clock.monotonic()
         admission = slots.acquire(rank, may_wait=not is_beyond_plan)
         if not admission.is_granted:
@@ -251,17 +238,13 @@
                 waiting=slots.waiting,
                 retry_after=round(admission.retry_after, 3),
             )
-            load = self._load_for_next(slots, rank, arrived)
+            load = slots.load_ahead(rank, arrived)
             return self._refused(call, admission, is_beyond_plan, load)
         try:
             answer = self._run_observed(call, backend, time_left)
         finally:
             slots.release(admission)
-        return replace(answer, load=self._load_for_next(slots, rank, arrived))
-
-    def _load_for_next(self, slots, rank, arrived):
-        waited = self._clock.monotonic() - arrived
-        return slots.load_ahead(rank.renewed(waited))
+        return replace(answer, load=slots.load_ahead(rank, arrived))
 
     def _refused(self, call, admission, is_beyond_plan, load):
         time_left = call.deadline - self._clock.monotonic()
@@ -272,7 +255,7 @@
         if is_beyond_plan and verdict == Verdict.FULL:
             text = "beyond the plan's rate and no slot is free"
             return refusal(429, text, retry_after, load)
-        return refusal(STATUS_BY_VERDICT[verdict], verdict.value, retry_after, load)
+        return refusal(503, verdict.value, retry_after, load)
 
     def _use_of(self, call):
         # A customer that this node has not learnt of yet is the entry's to judge.
--- a/rattanworks/admission/slots.py
+++ b/rattanworks/admission/slots.py
@@ -40,10 +40,10 @@
         """Return the number of calls in the queue."""
         return self._line.waiting
 
-    def load_ahead(self, rank):
-        """Return the load that a call of this rank finds in front of it."""
+    def load_ahead(self, rank, arrived):
+        """Return the load in front of a call that is like one that ``arrived``."""
         with self._lock:
-            return self._line.load_ahead(rank, self._clock.monotonic())
+            return self._line.load_ahead(rank, arrived, self._clock.monotonic())
 
     def acquire(self, rank, may_wait=True):
         """Return the Admission, after waiting in the queue if need be."""
--- a/rattanworks/admission/waiting.py
+++ b/rattanworks/admission/waiting.py
@@ -29,6 +29,17 @@
     objective: float = NO_OBJECTIVE
     expected_seconds: float = 0.0
 
+    @classmethod
+    def of(cls, call, expected_seconds, is_beyond_plan=False):
+        """Return the rank of a Call."""
+        return cls(
+            is_beyond_plan,
+            call.priority,
+            call.deadline,
+            call.objective,
+            expected_seconds,
+        )
+
     @property
     def latest_start(self):
         """Return the time after which the answer comes too late for any use."""
@@ -41,6 +52,14 @@
             return self.latest_start
         return min(self.objective, self.deadline) - self.expected_seconds
 
+    def is_late(self, now):
+        """Tell whether the answer misses its objective even if started now."""
+        return self.prompt_start < now
+
+    def start_by(self, now):
+        """Return the next time from which the answer is worth less, or nothing."""
+        return self.latest_start if self.is_late(now) else self.prompt_start
+
     def renewed(self, seconds):
         """Return the rank of a like call that comes so many seconds later."""
         objective = self.objective
@@ -60,15 +79,14 @@
     worth (weighted shortest processing time), a late answer counting half. Among
     like ones the most urgent goes first.
     """
-    is_late = rank.prompt_start < now
-    start = rank.latest_start if is_late else rank.prompt_start
-    return (rank.is_beyond_plan, rank.priority, _cost_class(rank, is_late), start)
+    cost_class = _cost_class(rank, now)
+    return (rank.is_beyond_plan, rank.priority, cost_class, rank.start_by(now))
 
 
-def _cost_class(rank, is_late):
+def _cost_class(rank, now):
     """Return the class of a call's slot time for its worth, in powers of two."""
     seconds = max(LEAST_RUN_SECONDS, rank.expected_seconds)
-    if is_late:
+    if rank.is_late(now):
         seconds /= LATE_WORTH
     return round(math.log2(seconds))
 
--- a/rattanworks/bench/load/callers.py
+++ b/rattanworks/bench/load/callers.py
@@ -17,7 +17,6 @@
 class _Asked:
     kind: object
     at: float
-    entry: object
     returns_left: int
     attempt_at: float = 0.0
     was_refused: bool = False
@@ -66,7 +65,7 @@
         self._timeline.after(self._random.expovariate(rate), self._arrive, kind)
         self._ledger.note_asked(kind)
         domain = self._random.choice(self._scenario.domains)
-        asked = _Asked(kind, now, None, kind.returns)
+        asked = _Asked(kind, now, kind.returns)
         for storm in self._storms:
             if self._random.random() < storm.share:
                 asked.returns_left += round(storm.factor)
--- a/rattanworks/bench/load/entry.py
+++ b/rattanworks/bench/load/entry.py
@@ -11,10 +11,10 @@
 from rattanworks.routing.entry import NO_ENDPOINT_RETRY_AFTER_SECONDS
 from rattanworks.routing.failure_share import FailureShare
 from rattanworks.routing.retries import (
-    FIRST_SERVER_FAULT,
     RetryBudget,
     RetryPolicy,
     RetrySettings,
+    is_failed,
 )
 
 # One way, with what the nodes spend on it; the order of a rack's network.
@@ -65,9 +65,9 @@
             kind=kind.route_kind,
         )
         self._budget.count_call(kind.service)
-        self._next(call, kind, Attempts(MOST_OFFERS), None, done)
+        self._next(call, kind, Attempts(MOST_OFFERS), done)
 
-    def _next(self, call, kind, attempts, ran, done):
+    def _next(self, call, kind, attempts, done):
         record = self._chooser.choose(
             self._endpoints_by_service[kind.service],
             attempts.tried_nodes,
@@ -76,7 +76,7 @@
             kind.name,
         )
         if record is None:
-            done(ran or self._none_left(call))
+            done(attempts.final_answer(self._none_left(call)))
             return
         owner = self._nodes_by_name[record.node]
         hop = self._hop(owner, kind)
@@ -97,37 +97,33 @@
         def ended(attempt):
             self._note(record, attempt, started, kind)
             attempts.note(record.node, attempt)
-            self._after(call, kind, attempts, ran, attempt, done)
+            self._after(call, kind, attempts, attempt, done)
 
         self._timeline.after(hop, arrive)
 
-    def _after(self, call, kind, attempts, ran, attempt, done):
-        answer = attempt.answer
-        if answer.outcome != Outcome.NOT_RUN:
-            ran = answer
+    def _after(self, call, kind, attempts, attempt, done):
         is_late = self._timeline.monotonic() >= call.deadline
         if (
             is_late
             or not attempts.are_left
             or not self._policy.is_tried_again(call, attempt, may_retry=True)
         ):
-            done(ran if ran and answer.outcome == Outcome.NOT_RUN else answer)
+            done(attempts.final_answer(attempt.answer))
             return
         again = replace(call, is_repeat=attempts.is_sent)
-        self._next(again, kind, attempts, ran, done)
+        self._next(again, kind, attempts, done)
 
     def _note(self, record, attempt, started, kind):
+        load, has_failed, seconds = None, True, None
         if attempt.is_unreached:
             self._chooser.avoid(record)
-            self._chooser.ended(record, None, True, None, kind.name)
-            self._failures.note(kind.service, True)
-            return
-        answer = attempt.answer
-        is_done = answer.outcome == Outcome.DONE
-        is_failed = is_done and answer.status >= FIRST_SERVER_FAULT
-        seconds = self._timeline.monotonic() - started if is_done else None
-        self._chooser.ended(record, answer.load, is_failed, seconds, kind.name)
-        self._failures.note(kind.service, is_failed)
+        else:
+            answer = attempt.answer
+            load, has_failed = answer.load, is_failed(answer)
+            if answer.outcome == Outcome.DONE:
+                seconds = self._timeline.monotonic() - started
+        self._chooser.ended(record, load, has_failed, seconds, kind.name)
+        self._failures.note(kind.service, has_failed)
 
     def _none_left(self, call):
         left = call.deadline - self._timeline.monotonic()
--- a/rattanworks/bench/load/nodes.py
+++ b/rattanworks/bench/load/nodes.py
@@ -1,7 +1,7 @@
 """Nodes of the model: the product's admission in front of a simulated server."""
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from rattanworks.admission.line import Waiter, WaitingLine
 from rattanworks.admission.owner import RUN_WEIGHT
@@ -10,6 +10,7 @@
 from rattanworks.bench.load.backend import ModelBackend
 from rattanworks.model.call import Outcome, refusal
 from rattanworks.model.endpoint import EndpointRecord, EndpointState
+from rattanworks.settings.node import HostSettings
 from rattanworks.utils.weighted_mean import WeightedMeans
 
 REGION = "region"
@@ -18,13 +19,6 @@
 FULL_STATUS = 503
 
 
-@dataclass(frozen=True, slots=True)
-class _Name:
-    name: str
-    failure_domain: str
-    region: str = REGION
-
-
 class _WaitingCall(Waiter):
     __slots__ = ("_done",)
 
@@ -43,7 +37,7 @@
     def __init__(self, name, service, domain, pace, timeline, policy, rng):
         self.name = name
         self.service = service
-        self.host = _Name(name, domain)
+        self.host = HostSettings(name, REGION, domain)
         self.record = EndpointRecord(
             node=name,
             incarnation=1,
@@ -73,26 +67,22 @@
 
     def dispatch(self, call, kind, done):
         """Run the call if it is admitted; ``done`` takes the Answer."""
-        rank = Rank(
-            False,
-            call.priority,
-            call.deadline,
-            call.objective,
-            self._run_seconds.get(call.route, 0.0),
-        )
-
+        rank = Rank.of(call, self._run_seconds.get(call.route, 0.0))
         arrived = self._timeline.monotonic()
 
+        def load():
+            return self.line.load_ahead(rank, arrived, self._timeline.monotonic())
+
         def ended(answer):
-            done(replace(answer, load=self._load_for_next(rank, arrived)))
+            done(replace(answer, load=load()))
 
         def settled(admission):
             if admission.is_granted:
                 run = (self._run, call, kind, admission, ended)
                 self._timeline.after(0.0, *run)
             else:
-                load = self._load_for_next(rank, arrived)
-                self._timeline.after(0.0, done, self._refused(call, admission, load))
+                refused = self._refused(call, admission, load())
+                self._timeline.after(0.0, done, refused)
 
         waiter = _WaitingCall(rank, settled)
         self.line.arrive(waiter, arrived)
@@ -100,10 +90,6 @@
             left = max(0.0, rank.latest_start - arrived)
             self._timeline.after(left, self.line.expire, waiter)
 
-    def _load_for_next(self, rank, arrived):
-        now = self._timeline.monotonic()
-        return self.line.load_ahead(rank.renewed(now - arrived), now)
-
     def _refused(self, call, admission, load):
         left = call.deadline - self._timeline.monotonic()
         seconds = return_seconds(admission.retry_after, left, self._random.random())
--- a/rattanworks/bench/load/policy.py
+++ b/rattanworks/bench/load/policy.py
@@ -22,9 +22,8 @@
 
 def prompt_first(rank, now):
     """Return the key of waiting calls: prompt ones first, the most urgent first."""
-    is_late = rank.prompt_start < now
-    start = rank.latest_start if is_late else rank.prompt_start
-    return (rank.is_beyond_plan, rank.priority, is_late, start)
+    is_late = rank.is_late(now)
+    return (rank.is_beyond_plan, rank.priority, is_late, rank.start_by(now))
 
 
 def newest_first(rank, now):
--- a/rattanworks/routing/attempts.py
+++ b/rattanworks/routing/attempts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from rattanworks.model.call import Answer
+from rattanworks.model.call import Answer, Outcome
 
 # Endpoints that may refuse a call unsent before its caller is refused.
 MAX_CHOICES = 3
@@ -21,6 +21,7 @@
 
     def __init__(self, most_offers):
         self._offers_left = most_offers
+        self._ran = None
         self.tried_nodes = []
         # A backend server was sent the call, whatever became of it.
         self.is_sent = False
@@ -40,3 +41,12 @@
         self.is_sent |= answer.is_offered
         if not attempt.is_unreached and not answer.is_offered:
             self.is_refused_unsent = True
+        if answer.outcome != Outcome.NOT_RUN:
+            self._ran = answer
+
+    def final_answer(self, last):
+        """Return the answer to the caller when ``last`` was that of the last try.
+
+        "Not run" holds for that try only; an earlier one may have run.
+        """
+        return self._ran if self._ran and last.outcome == Outcome.NOT_RUN else last
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -26,6 +26,7 @@
     FIRST_SERVER_FAULT,
     RetryBudget,
     RetryPolicy,
+    is_failed,
     is_retriable,
 )
 from rattanworks.utils.logging import log_event
@@ -148,7 +149,7 @@
             "milliseconds": round((now - started) * MILLISECONDS),
             "milliseconds_left": round((call.deadline - now) * MILLISECONDS),
         }
-        if answer.outcome == Outcome.DONE and not _is_failed(answer):
+        if answer.outcome == Outcome.DONE and not is_failed(answer):
             log_event("call-answered", **fields)
         else:
             log_event("call-failed", **fields, reason=answer.reason)
@@ -225,7 +226,6 @@
     def _run(self, call, target, may_retry, attempts):
         if self._is_too_late(call):
             return refusal(504, "the caller has gone, or its time was up at the start")
-        ran = None
         answer = refusal(
             503, "no endpoint takes calls now", self._return_seconds(call.deadline)
         )
@@ -243,12 +243,9 @@
             answer = attempt.answer
             attempts.note(record.node, attempt)
             self._log(call, record, attempt)
-            if answer.outcome != Outcome.NOT_RUN:
-                ran = answer
             if not self._is_tried_again(call, attempt, may_retry, attempts):
                 break
-        # "Not run" holds for the last try only; an earlier one may have run.
-        return ran if ran and answer.outcome == Outcome.NOT_RUN else answer
+        return attempts.final_answer(answer)
 
     def _is_tried_again(self, call, attempt, may_retry, attempts):
         if self._is_too_late(call) or not attempts.are_left:
@@ -282,10 +279,10 @@
     def _attempt(self, record, call):
         self._chooser.started(record)
         started = self._clock.monotonic()
-        load, is_failed, seconds = None, True, None
+        load, has_failed, seconds = None, True, None
         try:
             answer = self._dispatch(record, call)
-            load, is_failed = answer.load, _is_failed(answer)
+            load, has_failed = answer.load, is_failed(answer)
             if answer.outcome == Outcome.DONE:
                 seconds = self._clock.monotonic() - started
             return Attempt(answer)
@@ -294,14 +291,14 @@
             answer = refusal(503, str(error), self._return_seconds(call.deadline))
             return Attempt(answer, is_unreached=True)
         except CallAbandonedError as error:
-            is_failed = False
+            has_failed = False
             return Attempt(unknown_outcome(error.status, str(error)))
         except CallOutcomeUnknownError as error:
             self._note_unreachable(record)
             return Attempt(unknown_outcome(error.status, str(error)))
         finally:
-            self._chooser.ended(record, load, is_failed, seconds, call.route)
-            self._failures.note(call.service, is_failed)
+            self._chooser.ended(record, load, has_failed, seconds, call.route)
+            self._failures.note(call.service, has_failed)
 
     def _note_unreachable(self, record):
         self._chooser.avoid(record)
@@ -314,12 +311,6 @@
         return self._peer_calls.dispatch(record, call)
 
 
-def _is_failed(answer):
-    if answer.outcome == Outcome.UNKNOWN:
-        return True
-    return answer.outcome == Outcome.DONE and answer.status >= FIRST_SERVER_FAULT
-
-
 def _with_retries_header(headers):
     others = tuple(pair for pair in headers if pair[0] != RETRIES_HEADER[0])
     return (*others, RETRIES_HEADER)
--- a/rattanworks/routing/retries.py
+++ b/rattanworks/routing/retries.py
@@ -119,6 +119,13 @@
         return self._budget.take(call.service)
 
 
+def is_failed(answer):
+    """Tell whether an answer counts against the endpoint that gave it."""
+    if answer.outcome == Outcome.UNKNOWN:
+        return True
+    return answer.outcome == Outcome.DONE and answer.status >= FIRST_SERVER_FAULT
+
+
 def is_retriable(call, answer):
     """Tell whether running the call again can do no harm and may help."""
     if answer.outcome == Outcome.NOT_RUN:
--- a/rattanworks/tests/admission/line_tests.py
+++ b/rattanworks/tests/admission/line_tests.py
@@ -27,8 +27,8 @@
         for _ in range(5):
             self.arrive(long_rank())
         self.assertEqual(self.line.load, 2.5)
-        self.assertEqual(self.line.load_ahead(short_rank(), 0.0), 1.0)
-        self.assertEqual(self.line.load_ahead(long_rank(), 0.0), 2.5)
+        self.assertEqual(self.line.load_ahead(short_rank(), 0.0, 0.0), 1.0)
+        self.assertEqual(self.line.load_ahead(long_rank(), 0.0, 0.0), 2.5)
 
     def test_a_slot_given_back_goes_to_the_first_in_line(self):
         running = [self.arrive(long_rank()) for _ in range(2)]
