Let both clients of stores over HTTP share connections, errors and decoding

Read again: the platform's client had its own copies of what an unsent request, a lost answer and an unreadable body mean, and of put and delete beside a transaction. StoreOverHttp has the first, the port the second; the stand-in's client keeps its own PUT and DELETE, which its protocol has. Behaviour stays; the text of one error (a doubtful status to a write) now names the status in the shared wording.

--- a/rattanworks/adapters/http_store.py
+++ b/rattanworks/adapters/http_store.py
@@ -3,27 +3,21 @@
 from dataclasses import replace
 from urllib.parse import quote, urlencode
 
+from rattanworks.adapters.store_over_http import (
+    StoreOverHttp,
+    decode_answer,
+    decode_written,
+)
 from rattanworks.exceptions import (
-    CallNotSentError,
     CallOutcomeUnknownError,
     LeaseLostError,
     StoreAnswerLostError,
     StoreConflictError,
     StoreUnavailableError,
 )
-from rattanworks.ports.base import (
-    ABSENT,
-    Entry,
-    Store,
-    TransactionConflict,
-    WatchEvent,
-)
-from rattanworks.utils.codec import DecodeError, decode_json, encode_json
-from rattanworks.utils.http_pool import HttpPool
-
-JSON_HEADERS = (("Content-Type", "application/json"),)
+from rattanworks.ports.base import ABSENT, Entry, TransactionConflict, WatchEvent
+from rattanworks.utils.codec import JSON_HEADERS, encode_json
 
-MAX_CONNECTIONS = 16
 WATCH_GRACE_SECONDS = 2.0
 
 TAKEN_STATUSES = frozenset({200, 204})
@@ -34,17 +28,16 @@
 TELLING_STATUSES = TAKEN_STATUSES | {ABSENT_STATUS, CONFLICT_STATUS}
 
 
-class HttpStore(Store):
+class HttpStore(StoreOverHttp):
     """Reaches the store at ``address``; keys live under ``prefix``."""
 
     def __init__(self, address, prefix, timeout):
-        self._pool = HttpPool(address, MAX_CONNECTIONS)
+        super().__init__(address, timeout)
         self._prefix = f"{prefix}/"
-        self._timeout = timeout
 
     def get(self, key):
         """Return the Entry at ``key`` or None."""
-        answer = self._read("GET", self._key_path(key))
+        answer = self._read(self._key_path(key))
         if answer.status == ABSENT_STATUS:
             return None
         return Entry(key, answer.body, _revision_of(answer))
@@ -52,7 +45,7 @@
     def list(self, prefix):
         """Return the entries whose keys start with ``prefix``."""
         query = urlencode({"prefix": self._prefix + prefix})
-        return self._event(self._read("GET", f"/v1/list?{query}"))
+        return self._own(decode_answer(self._read(f"/v1/list?{query}"), WatchEvent))
 
     def put(self, key, value, expected_revision, lease_id=""):
         """Write by compare-and-swap and return the new Entry."""
@@ -79,15 +72,12 @@
             "POST", "/v1/transactions", JSON_HEADERS, encode_json(prefixed)
         )
         if answer.status == CONFLICT_STATUS:
-            conflict = self._decoded(answer, TransactionConflict)
+            conflict = decode_answer(answer, TransactionConflict)
             write = writes[conflict.position]
             raise StoreConflictError(
                 write.key, write.expected_revision, conflict.actual_revision
             )
-        try:
-            return self._event(answer).entries
-        except StoreUnavailableError as error:
-            raise StoreAnswerLostError(str(error)) from error
+        return self._own(decode_written(answer, WatchEvent)).entries
 
     def watch(self, prefix, after_revision, timeout):
         """Wait up to ``timeout`` seconds for changes."""
@@ -98,10 +88,8 @@
                 "timeout": timeout,
             }
         )
-        answer = self._read(
-            "GET", f"/v1/watch?{query}", timeout=timeout + WATCH_GRACE_SECONDS
-        )
-        return self._event(answer)
+        answer = self._read(f"/v1/watch?{query}", timeout + WATCH_GRACE_SECONDS)
+        return self._own(decode_answer(answer, WatchEvent))
 
     def grant_lease(self, ttl):
         """Return the id of a new lease of ``ttl`` seconds."""
@@ -115,15 +103,10 @@
         """End a lease and delete the records bound to it."""
         self._write("DELETE", f"/v1/leases/{lease_id}")
 
-    def close(self):
-        """Close idle connections."""
-        self._pool.close()
-
     def _key_path(self, key):
         return f"/v1/keys/{quote(self._prefix + key)}"
 
-    def _event(self, answer):
-        event = self._decoded(answer, WatchEvent)
+    def _own(self, event):
         skipped = len(self._prefix)
         entries = tuple(
             Entry(entry.key[skipped:], entry.value, entry.revision)
@@ -131,51 +114,21 @@
         )
         return WatchEvent(entries, event.revision)
 
-    def _decoded(self, answer, kind):
-        try:
-            return decode_json(answer.body, kind)
-        except DecodeError as error:
-            raise StoreUnavailableError(
-                f"the store's answer cannot be read: {error}; try again"
-            ) from error
-
-    def _read(self, method, target, timeout=None):
-        try:
-            answer = self._exchange(method, target, (), b"", timeout)
-        except CallOutcomeUnknownError as error:
-            raise StoreUnavailableError(str(error)) from error
-        return answer
-
     def _write(self, method, target, headers=(), body=b""):
-        try:
-            answer = self._exchange(method, target, headers, body, None)
-        except CallOutcomeUnknownError as error:
-            raise StoreAnswerLostError(
-                f"a write may have taken effect: {error}; read the record back"
-            ) from error
+        answer = super()._write(method, target, headers, body)
         if answer.status == ABSENT_STATUS:
             raise StoreUnavailableError("the store knows no such path; check its URL")
         return answer
 
-    def _exchange(self, method, target, headers, body, timeout):
-        try:
-            answer = self._pool.exchange(
-                method, target, headers, body, timeout or self._timeout
-            )
-        except CallNotSentError as error:
-            raise StoreUnavailableError(str(error)) from error
+    def _require_told(self, answer, method):
         if answer.status == LEASE_GONE_STATUS:
             raise LeaseLostError("the lease has expired; acquire it again")
         if answer.status in DOUBTFUL_STATUSES and method != "GET":
-            raise StoreAnswerLostError(
-                f"the store answered {answer.status} to a write, which may have "
-                "taken effect; read the record back"
-            )
+            raise CallOutcomeUnknownError(f"the store answered {answer.status}")
         if answer.status not in TELLING_STATUSES:
             raise StoreUnavailableError(
                 f"the store answered {answer.status}; try again later"
             )
-        return answer
 
     def _require_matched(self, answer, key, expected):
         if answer.status == CONFLICT_STATUS:
--- /dev/null
+++ b/rattanworks/adapters/store_over_http.py
@@ -0,0 +1,85 @@
+"""What the clients of stores over HTTP share: connections and what errors mean."""
+
+import abc
+
+from rattanworks.exceptions import (
+    CallNotSentError,
+    CallOutcomeUnknownError,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+from rattanworks.ports.base import Store
+from rattanworks.utils.codec import DecodeError, decode_json
+from rattanworks.utils.http_pool import HttpPool
+
+MAX_CONNECTIONS = 16
+
+
+class StoreOverHttp(Store):
+    """Sends requests to the store at ``address``; ``timeout`` is in seconds.
+
+    ``headers`` go with every request.
+    """
+
+    headers = ()
+
+    def __init__(self, address, timeout):
+        self._pool = HttpPool(address, MAX_CONNECTIONS)
+        self._timeout = timeout
+
+    @abc.abstractmethod
+    def _require_told(self, answer, method):
+        """Raise unless the answer's status tells what became of the request.
+
+        Raise CallOutcomeUnknownError when a request may have been carried out.
+        """
+
+    def _read(self, target, timeout=None):
+        try:
+            return self._exchange("GET", target, (), b"", timeout)
+        except CallOutcomeUnknownError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    def _write(self, method, target, headers=(), body=b""):
+        try:
+            return self._exchange(method, target, headers, body, None)
+        except CallOutcomeUnknownError as error:
+            raise StoreAnswerLostError(
+                f"a write may have taken effect: {error}; read the record back"
+            ) from error
+
+    def _exchange(self, method, target, headers, body, timeout):
+        try:
+            answer = self._pool.exchange(
+                method,
+                target,
+                (*self.headers, *headers),
+                body,
+                timeout or self._timeout,
+            )
+        except CallNotSentError as error:
+            raise StoreUnavailableError(str(error)) from error
+        self._require_told(answer, method)
+        return answer
+
+    def close(self):
+        """Close idle connections."""
+        self._pool.close()
+
+
+def decode_answer(answer, kind):
+    """Return an answer's body as ``kind``; raise StoreUnavailableError."""
+    try:
+        return decode_json(answer.body, kind)
+    except DecodeError as error:
+        raise StoreUnavailableError(
+            f"the store's answer cannot be read: {error}; try again"
+        ) from error
+
+
+def decode_written(answer, kind):
+    """Return the body of an answer to a write; raise StoreAnswerLostError."""
+    try:
+        return decode_answer(answer, kind)
+    except StoreUnavailableError as error:
+        raise StoreAnswerLostError(str(error)) from error
--- a/rattanworks/bench/ledger.py
+++ b/rattanworks/bench/ledger.py
@@ -15,6 +15,7 @@
 from rattanworks.ledger.claims import ClaimLedger
 from rattanworks.ledger.pages import PagedClaims
 from rattanworks.model.call import Answer, Call, Outcome
+from rattanworks.utils.codec import JSON_HEADERS
 
 STORE_TIMEOUT_SECONDS = 2.0
 STORE_DELAY_SECONDS = 0.003
@@ -23,7 +24,7 @@
 FORWARD_SECONDS = 0.001
 WORKERS = 256
 MILLISECONDS = 1000
-ANSWER = Answer(200, (("Content-Type", "application/json"),), bytes(200))
+ANSWER = Answer(200, JSON_HEADERS, bytes(200))
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -4,28 +4,27 @@
 
 import msgspec
 
+from rattanworks.adapters.store_over_http import (
+    StoreOverHttp,
+    decode_answer,
+    decode_written,
+)
 from rattanworks.distribution.keys import (
     BLOBS_PREFIX,
     HEAD,
 )
 from rattanworks.exceptions import (
-    CallNotSentError,
     CallOutcomeUnknownError,
     HistoryLostError,
     LeaseLostError,
-    StoreAnswerLostError,
     StoreConflictError,
     StoreUnavailableError,
 )
 from rattanworks.platform.names import render_duration
 from rattanworks.platform.records import Records
-from rattanworks.ports.base import ABSENT, Entry, Store, WatchEvent, Write
-from rattanworks.utils.codec import decode_json, encode_json
-from rattanworks.utils.http_pool import HttpPool
-
-JSON_HEADERS = (("Content-Type", "application/json"),)
+from rattanworks.ports.base import ABSENT, Entry, WatchEvent
+from rattanworks.utils.codec import JSON_HEADERS, encode_json
 
-MAX_CONNECTIONS = 16
 # Added to a watch's time for its answer to arrive.
 WATCH_GRACE_SECONDS = 1.0
 MAX_WATCH_SECONDS = 30.0
@@ -69,17 +68,18 @@
     lease: int
 
 
-class PlatformStore(Store):
+class PlatformStore(StoreOverHttp):
     """Reaches the platform's store; the product's own keys lie under ``prefix``.
 
     The operator's records appear under the product's keys and in its form, see
     Records.
     """
 
+    headers = JSON_HEADERS
+
     def __init__(self, address, prefix, timeout, least_lease_seconds):
-        self._pool = HttpPool(address, MAX_CONNECTIONS)
+        super().__init__(address, timeout)
         self._records = Records(f"{prefix}/")
-        self._timeout = timeout
         self._least_lease_seconds = least_lease_seconds
 
     def get(self, key):
@@ -90,7 +90,7 @@
         answer = self._read(f"/rattanworks/kv-key?{query}")
         if answer.status == ABSENT_STATUS:
             return None
-        item = _decode(answer, _Item)
+        item = decode_answer(answer, _Item)
         return Entry(key, self._records.own_value(key, item.value), item.revision)
 
     def list(self, prefix):
@@ -107,7 +107,7 @@
         items, after, revision = [], "", None
         for _ in range(MAX_PAGES):
             query = {"prefix": wire_prefix, **({"after": after} if after else {})}
-            page = _decode(
+            page = decode_answer(
                 self._read(f"/rattanworks/kv-range?{urlencode(query)}"), _Page
             )
             items += page.items
@@ -117,26 +117,14 @@
             after = page.items[-1].key
         raise StoreUnavailableError(f"the records under {wire_prefix} have no end")
 
-    def put(self, key, value, expected_revision, lease_id=""):
-        """Write by compare-and-swap and return the new Entry."""
-        (entry,) = self.write_all((Write(key, value, expected_revision, lease_id),))
-        return entry
-
-    def delete(self, key, expected_revision):
-        """Delete by compare-and-swap."""
-        self.write_all((Write(key, None, expected_revision),))
-
     def write_all(self, writes):
         """Make all the writes in one transaction or none."""
-        answer = self._write("POST", "/rattanworks/kv-txn", self._transaction(writes))
+        answer = self._write_json("/rattanworks/kv-txn", self._transaction(writes))
         if answer.status == CONFLICT_STATUS:
-            raise self._conflict(writes, _decode(answer, _Conflict).items)
+            raise self._conflict(writes, decode_answer(answer, _Conflict).items)
         if answer.status == ABSENT_STATUS:
             raise LeaseLostError("the lease has expired; acquire it again")
-        try:
-            revision = _decode(answer, _Written).revision
-        except StoreUnavailableError as error:
-            raise StoreAnswerLostError(str(error)) from error
+        revision = decode_written(answer, _Written).revision
         return tuple(Entry(write.key, write.value, revision) for write in writes)
 
     def _transaction(self, writes):
@@ -183,17 +171,17 @@
             }
         )
         answer = self._read(
-            f"/rattanworks/kv-watch?{query}", timeout=seconds + WATCH_GRACE_SECONDS
+            f"/rattanworks/kv-watch?{query}", seconds + WATCH_GRACE_SECONDS
         )
-        events = _decode(answer, _Events)
+        events = decode_answer(answer, _Events)
         return WatchEvent(self._entries(events.items, prefix), events.store_revision)
 
     def grant_lease(self, ttl):
         """Return the id of a new lease of ``ttl`` seconds."""
         ttl = max(ttl, self._least_lease_seconds)
         body = {"ttl_time": render_duration(ttl)}
-        answer = self._write("POST", "/rattanworks/kv-lease", body)
-        return str(_decode(answer, _Lease).lease)
+        answer = self._write_json("/rattanworks/kv-lease", body)
+        return str(decode_answer(answer, _Lease).lease)
 
     def renew_lease(self, lease_id):
         """Renew a lease."""
@@ -205,10 +193,6 @@
         """End a lease and delete the records bound to it."""
         self._write("DELETE", f"/rattanworks/kv-lease-end/{lease_id}")
 
-    def close(self):
-        """Close idle connections."""
-        self._pool.close()
-
     def _blob(self, key):
         wanted = key.removeprefix(BLOBS_PREFIX)
         content = self._records.kept_blob(wanted)
@@ -232,29 +216,10 @@
             entries.append(Entry(key, value, item.revision))
         return tuple(entries)
 
-    def _read(self, target, timeout=None):
-        try:
-            return self._exchange("GET", target, b"", timeout)
-        except CallOutcomeUnknownError as error:
-            raise StoreUnavailableError(str(error)) from error
-
-    def _write(self, method, target, body=None):
-        content = b"" if body is None else encode_json(body)
-        try:
-            answer = self._exchange(method, target, content)
-        except CallOutcomeUnknownError as error:
-            raise StoreAnswerLostError(
-                f"a write may have taken effect: {error}; read the record back"
-            ) from error
-        return answer
-
-    def _exchange(self, method, target, body, timeout=None):
-        try:
-            answer = self._pool.exchange(
-                method, target, JSON_HEADERS, body, timeout or self._timeout
-            )
-        except CallNotSentError as error:
-            raise StoreUnavailableError(str(error)) from error
+    def _write_json(self, target, content):
+        return self._write("POST", target, body=encode_json(content))
+
+    def _require_told(self, answer, method):
         if answer.status == HISTORY_LOST_STATUS:
             raise HistoryLostError("the store dropped these changes; read all again")
         if answer.status in REFUSED_STATUSES:
@@ -263,16 +228,6 @@
             )
         if answer.status not in (DONE_STATUS, ABSENT_STATUS, CONFLICT_STATUS):
             raise CallOutcomeUnknownError(f"the store answered {answer.status}")
-        return answer
-
-
-def _decode(answer, kind):
-    try:
-        return decode_json(answer.body, kind)
-    except msgspec.DecodeError as error:
-        raise StoreUnavailableError(
-            f"the store's answer cannot be read: {error}; try again"
-        ) from error
 
 
 def _common_prefix(prefixes):
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -60,17 +60,18 @@
     def list(self, prefix):
         """Return the entries whose keys start with ``prefix`` as a WatchEvent."""
 
-    @abc.abstractmethod
     def put(self, key, value, expected_revision, lease_id=""):
         """Write by compare-and-swap and return the new Entry.
 
         ``expected_revision`` is ABSENT to create. Raise StoreConflictError when
         the record is at another revision, LeaseLostError when the lease is gone.
         """
+        (entry,) = self.write_all((Write(key, value, expected_revision, lease_id),))
+        return entry
 
-    @abc.abstractmethod
     def delete(self, key, expected_revision):
         """Delete by compare-and-swap; raise StoreConflictError on a mismatch."""
+        self.write_all((Write(key, None, expected_revision),))
 
     @abc.abstractmethod
     def write_all(self, writes):
--- a/rattanworks/tests/fakes.py
+++ b/rattanworks/tests/fakes.py
@@ -17,7 +17,6 @@
 )
 from rattanworks.standins.store import (
     MemoryStore,
-    RevisionConflictError,
     TransactionConflictError,
     UnknownLeaseError,
 )
@@ -55,25 +54,6 @@
         self._require_up()
         return self.memory.list(prefix)
 
-    def put(self, key, value, expected_revision, lease_id=""):
-        self._require_up()
-        try:
-            entry = self.memory.put(key, value, expected_revision, lease_id)
-        except RevisionConflictError as error:
-            raise StoreConflictError(key, expected_revision, error.actual) from error
-        except UnknownLeaseError as error:
-            raise LeaseLostError("the lease has expired") from error
-        self._maybe_lose_answer()
-        return entry
-
-    def delete(self, key, expected_revision):
-        self._require_up()
-        try:
-            self.memory.delete(key, expected_revision)
-        except RevisionConflictError as error:
-            raise StoreConflictError(key, expected_revision, error.actual) from error
-        self._maybe_lose_answer()
-
     def write_all(self, writes):
         self._require_up()
         try:
--- a/rattanworks/utils/codec.py
+++ b/rattanworks/utils/codec.py
@@ -9,6 +9,8 @@
 
 DecodeError = msgspec.DecodeError
 
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
 
 @functools.cache
 def _json_decoder(kind):
--- a/rattanworks/utils/wsgi.py
+++ b/rattanworks/utils/wsgi.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from urllib.parse import quote
 
-from rattanworks.utils.codec import encode_json
+from rattanworks.utils.codec import JSON_HEADERS, encode_json
 
 VIEWED_BODY_BYTES = 64 * 1024
 PATH_SAFE = "/:@!$&'()*+,;=~-._"
@@ -23,7 +23,7 @@
 
 def json_response(value, status=200):
     """Return a response that carries ``value`` as JSON."""
-    return Response(status, encode_json(value), (("Content-Type", "application/json"),))
+    return Response(status, encode_json(value), JSON_HEADERS)
 
 
 def path_of(environ):
