Take twins of small pieces together

Read again: the wait for a connection that can be abandoned stood twice (in front of a body's next piece and of the answer), the pairs of prefixes of the operator's records twice, the replacement of a request's id twice, and a function that says no three times, two of them now one. The pool no longer passes on names of the module beside it. Behaviour stays.

--- a/rattanworks/adapters/http_backend.py
+++ b/rattanworks/adapters/http_backend.py
@@ -12,7 +12,8 @@
 from rattanworks.model.call import Answer, Outcome
 from rattanworks.ports.base import BackendServer
 from rattanworks.utils.headers import answer_headers
-from rattanworks.utils.http_pool import HttpPool, Terms
+from rattanworks.utils.http_connection import Terms
+from rattanworks.utils.http_pool import HttpPool
 from rattanworks.utils.logging import log_event
 
 CANCEL_PATH = "/control/cancel"
--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -4,7 +4,7 @@
 import threading
 import uuid
 
-from rattanworks.model.call import Outcome, refusal
+from rattanworks.model.call import Outcome, never, refusal
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.utils.headers import request_headers
 from rattanworks.utils.http_parts import HAS_LEFT_KEY, RECEIVED_AT_KEY
@@ -23,6 +23,13 @@
 BUSY_RETRY_AFTER_SECONDS = 1.0
 RETRIES_KEY = "HTTP_X_RETRIES"
 OUTER = "outer"
+REQUEST_ID = "X-Request-Id"
+
+
+def with_request_id(headers, request_id):
+    """Return headers as a list with the request's id in place of any other."""
+    others = [pair for pair in headers if pair[0].lower() != REQUEST_ID.lower()]
+    return [*others, (REQUEST_ID, request_id)]
 
 
 class CallersDialect:
@@ -56,8 +63,7 @@
 
     def answer_headers(self, answer, request_id):
         """Return the headers of the answer to the caller."""
-        headers = [pair for pair in answer.headers if pair[0].title() != "X-Request-Id"]
-        headers.append(("X-Request-Id", request_id))
+        headers = with_request_id(answer.headers, request_id)
         headers.append(("X-Request-Outcome", str(answer.outcome)))
         if answer.outcome != Outcome.DONE and answer.retry_after > 0:
             headers.append(("Retry-After", str(math.ceil(answer.retry_after))))
@@ -141,13 +147,9 @@
 
 
 def _is_abandoned(environ):
-    if environ.get(HAS_LEFT_KEY, _never)():
+    if environ.get(HAS_LEFT_KEY, never)():
         return _always
-    return environ.get("waitress.client_disconnected", _never)
-
-
-def _never():
-    return False
+    return environ.get("waitress.client_disconnected", never)
 
 
 def _always():
--- a/rattanworks/model/call.py
+++ b/rattanworks/model/call.py
@@ -26,7 +26,8 @@
 }
 
 
-def _never():
+def never():
+    """Tell that something is not so, whenever it is asked."""
     return False
 
 
@@ -82,7 +83,7 @@
     deadline: float
     version: str = ""
     idempotency_key: str = ""
-    is_abandoned: Callable[[], bool] = _never
+    is_abandoned: Callable[[], bool] = never
     host: str = ""
     caller_service: str = ""
     objective: float = 0.0
--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -18,7 +18,8 @@
 )
 from rattanworks.ports.base import BackendServer
 from rattanworks.utils.headers import answer_headers
-from rattanworks.utils.http_pool import HttpPool, Terms
+from rattanworks.utils.http_connection import Terms
+from rattanworks.utils.http_pool import HttpPool
 
 MILLISECONDS = 1000
 MISDIRECTED_STATUS = 421
--- a/rattanworks/platform/callers.py
+++ b/rattanworks/platform/callers.py
@@ -2,13 +2,16 @@
 
 import math
 
-from rattanworks.adapters.http_callers import MAX_TIMEOUT_SECONDS, CallersDialect
+from rattanworks.adapters.http_callers import (
+    MAX_TIMEOUT_SECONDS,
+    CallersDialect,
+    with_request_id,
+)
 from rattanworks.model.call import Outcome
 from rattanworks.platform.names import (
     CALLER_SERVICE,
     EXPECTED_INSTANCE,
     REQUEST_DEADLINE,
-    REQUEST_ID,
     header_key,
 )
 from rattanworks.utils.headers import request_headers
@@ -56,10 +59,7 @@
 
     def answer_headers(self, answer, request_id):
         """Return the headers of the answer to the caller."""
-        headers = [
-            pair for pair in answer.headers if pair[0].lower() != REQUEST_ID.lower()
-        ]
-        headers.append((REQUEST_ID, request_id))
+        headers = with_request_id(answer.headers, request_id)
         if answer.outcome == Outcome.NOT_RUN and answer.retry_after > 0:
             headers.append(("Retry-After", f"{answer.retry_after:.3f}"))
         return tuple(headers)
--- a/rattanworks/platform/records.py
+++ b/rattanworks/platform/records.py
@@ -20,6 +20,11 @@
 CONFIGURATION_KEY = "op/config"
 ROLLOUTS_PREFIX = "op/rollout/"
 ROLLOUT_STATUS_PREFIX = "status/rollout/"
+# The product's prefix and the platform's, of records that operators share.
+OPERATORS_PREFIXES = (
+    (ORDERS_PREFIX, ROLLOUTS_PREFIX),
+    (ORDER_STATUS_PREFIX, ROLLOUT_STATUS_PREFIX),
+)
 STATUS_BY_WORD = {
     "running": MoveStatus.RUNNING,
     "completed": MoveStatus.DONE,
@@ -58,10 +63,7 @@
         """Return the platform's key of an own key."""
         if key == HEAD:
             return CONFIGURATION_KEY
-        for own, wire in (
-            (ORDERS_PREFIX, ROLLOUTS_PREFIX),
-            (ORDER_STATUS_PREFIX, ROLLOUT_STATUS_PREFIX),
-        ):
+        for own, wire in OPERATORS_PREFIXES:
             if key.startswith(own):
                 return wire + key.removeprefix(own)
         return self._prefix + key
@@ -70,11 +72,7 @@
         """Return the own key of a platform's key, None for other records."""
         if wire_key == CONFIGURATION_KEY:
             return HEAD
-        for own, wire in (
-            (ORDERS_PREFIX, ROLLOUTS_PREFIX),
-            (ORDER_STATUS_PREFIX, ROLLOUT_STATUS_PREFIX),
-            ("", self._prefix),
-        ):
+        for own, wire in (*OPERATORS_PREFIXES, ("", self._prefix)):
             if wire_key.startswith(wire):
                 return own + wire_key.removeprefix(wire)
         return None
@@ -83,7 +81,7 @@
         """Return the prefixes under which the keys of an own prefix lie."""
         prefixes = [self._prefix + prefix]
         if HEAD.startswith(prefix):
-            prefixes += [CONFIGURATION_KEY, ROLLOUTS_PREFIX, ROLLOUT_STATUS_PREFIX]
+            prefixes += [CONFIGURATION_KEY, *(wire for _, wire in OPERATORS_PREFIXES)]
         return prefixes
 
     def readable_value(self, key, value):
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -15,6 +15,7 @@
     Call,
     Headers,
     Outcome,
+    never,
     refusal,
     unknown_outcome,
 )
@@ -38,10 +39,6 @@
 RETRIES_HEADER = ("X-Retries", "outer")
 
 
-def _never():
-    return False
-
-
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as a caller sent it; ``deadline`` is in monotonic seconds.
@@ -62,7 +59,7 @@
     deadline: float
     idempotency_key: str = ""
     is_retried_outside: bool = False
-    is_abandoned: Callable[[], bool] = _never
+    is_abandoned: Callable[[], bool] = never
     host: str = ""
     received_at: float = 0.0
 
--- a/rattanworks/tests/utils/http_pool_tests.py
+++ b/rattanworks/tests/utils/http_pool_tests.py
@@ -13,7 +13,8 @@
     CallTimedOutError,
 )
 from rattanworks.tests.servers import ScriptedServer, raw_answer
-from rattanworks.utils.http_pool import HttpPool, Terms
+from rattanworks.utils.http_connection import Terms
+from rattanworks.utils.http_pool import HttpPool
 
 
 class HttpPoolTests(unittest.TestCase):
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -181,23 +181,33 @@
         sock.sendall(piece)
         return True
     view = memoryview(piece)
-    poll = select.poll()
-    poll.register(sock, select.POLLIN | select.POLLOUT)
     while view:
-        left = seconds_left(terms.deadline)
-        events = poll.poll(min(left, ABANDON_CHECK_SECONDS) * MILLISECONDS)
-        ready = events[0][1] if events else 0
+        ready = await_ready(sock, select.POLLIN | select.POLLOUT, terms)
         if ready & ~select.POLLOUT:
             return False
+        view = view[sock.send(view[:PIECE_BYTES], socket.MSG_DONTWAIT) :]
+    return True
+
+
+def await_ready(sock, events, terms):
+    """Wait for events of a poll and return those that came.
+
+    Raise CallAbandonedError once nobody waits for the answer, TimeoutError at the
+    deadline.
+    """
+    poll = select.poll()
+    poll.register(sock, events)
+    while True:
+        left = seconds_left(terms.deadline)
+        ready = poll.poll(min(left, ABANDON_CHECK_SECONDS) * MILLISECONDS)
         if ready:
-            view = view[sock.send(view[:PIECE_BYTES], socket.MSG_DONTWAIT) :]
-        elif terms.is_abandoned is not None and terms.is_abandoned():
+            return ready[0][1]
+        if terms.is_abandoned is not None and terms.is_abandoned():
             raise CallAbandonedError(
                 "nobody waits for the answer; ask again if it is still wanted"
             )
-        elif left <= MIN_TIMEOUT_SECONDS:
+        if left <= MIN_TIMEOUT_SECONDS:
             raise TimeoutError
-    return True
 
 
 def read_whole(response, method, may_end_by_close):
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -6,18 +6,14 @@
 import time
 
 from rattanworks.exceptions import (
-    CallAbandonedError,
     CallNotSentError,
     CallOutcomeUnknownError,
     CallTimedOutError,
 )
 from rattanworks.utils.http_connection import (
-    ABANDON_CHECK_SECONDS,
-    MILLISECONDS,
-    MIN_TIMEOUT_SECONDS,
     Connection,
-    HttpAnswer,
     Terms,
+    await_ready,
     has_input,
     idle_seconds,
     read_whole,
@@ -33,8 +29,6 @@
 IDLE_PART_USED = 0.5
 FIRST_FINAL_STATUS = 200
 
-__all__ = ["HttpAnswer", "HttpPool", "ReusedConnectionClosedError", "Terms"]
-
 
 class ReusedConnectionClosedError(CallOutcomeUnknownError):
     """A pooled connection was closed before it gave any byte of an answer."""
@@ -137,8 +131,8 @@
     def _read_own(self, connection, method, terms):
         """Return the request's own HttpAnswer and whether the connection stays."""
         for _ in range(MAX_BELATED_ANSWERS + 1):
-            if not connection.reader.has_buffered:
-                self._await_answer(connection.sock, terms)
+            if not connection.reader.has_buffered and terms.is_abandoned is not None:
+                await_ready(connection.sock, select.POLLIN, terms)
             connection.sock.settimeout(seconds_left(terms.deadline))
             response = connection.next_response(method)
             if response.status < FIRST_FINAL_STATUS:
@@ -157,22 +151,6 @@
             "repeat the call only if it is idempotent"
         )
 
-    def _await_answer(self, sock, terms):
-        if terms.is_abandoned is None:
-            return
-        poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        while True:
-            left = seconds_left(terms.deadline)
-            if poll.poll(min(left, ABANDON_CHECK_SECONDS) * MILLISECONDS):
-                return
-            if terms.is_abandoned():
-                raise CallAbandonedError(
-                    "nobody waits for the answer; ask again if it is still wanted"
-                )
-            if left <= MIN_TIMEOUT_SECONDS:
-                raise TimeoutError
-
     def _broken(self, error, is_reused):
         kind = CallOutcomeUnknownError
         if is_reused and isinstance(
