Log what a planned stop waits for and which calls it cuts

The logs could not tell the four hypotheses of the lost answers apart: node-draining and node-stopped were all that a stop wrote, and a close of a connection with a call at work wrote nothing. Now node-draining has the time bounds and the calls at work by listener, node-drained when and why the wait ended and what is still at work, node-stopped the whole time, and call-cut names each call whose connection this side closes, with the reason. No change of logic.

--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -160,7 +160,13 @@
         node = self._node
         drain_until = time.monotonic() + node.settings.drain.timeout_seconds
         node.lifecycle.advance(Phase.DRAINING)
-        log_event("node-draining")
+        began = time.monotonic()
+        log_event(
+            "node-draining",
+            timeout_seconds=node.settings.drain.timeout_seconds,
+            accept_seconds=node.settings.drain.accept_seconds,
+            **self._at_work(),
+        )
         roles = threading.Thread(target=self._give_roles_up, name="roles", daemon=True)
         roles.start()
         self._serve_until_told(drain_until)
@@ -168,6 +174,12 @@
         node.owner.stop()
         node.gossiper.flush(LEAVE_TELL_SECONDS)
         self._drain_listeners(drain_until)
+        log_event(
+            "node-drained",
+            seconds=round(time.monotonic() - began, 3),
+            has_timed_out=time.monotonic() >= drain_until,
+            **self._at_work(),
+        )
         roles.join(max(0.0, drain_until - time.monotonic()))
         node.gossiper.stop()
         node.spreader.stop()
@@ -179,7 +191,12 @@
         node.control_peers.close()
         node.store.close()
         node.lifecycle.advance(Phase.STOPPED)
-        log_event("node-stopped")
+        log_event("node-stopped", seconds=round(time.monotonic() - began, 3))
+
+    def _at_work(self):
+        """Return the number of calls at work by listener."""
+        servers = self._node.servers_by_listener
+        return {name: servers[name].at_work for name in DRAINED_LISTENERS}
 
     def _give_roles_up(self):
         for watcher in self._node.watchers:
--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -73,6 +73,21 @@
         wait_until(is_empty, LIMIT_SECONDS, "no connection is left")
         self.assertEqual(self.paths, ["/first", "/slow"])
 
+    def test_a_call_cut_by_a_stop_is_logged_with_its_id_and_reason(self):
+        server = HttpServer(self.app, "127.0.0.1", 0, 4, 1024, "stopped")
+        server.start()
+        connection = http.client.HTTPConnection(server.address, timeout=LIMIT_SECONDS)
+        self.addCleanup(connection.close)
+        connection.request("GET", "/slow", headers={"X-Request-Id": "r-cut"})
+        self.assertTrue(self.started.wait(LIMIT_SECONDS))
+        self.assertEqual(server.at_work, 1)
+        with unittest.mock.patch.object(http_parts, "log_event") as log_event:
+            server.stop()
+        (call,) = log_event.call_args_list
+        self.assertEqual(call.args, ("call-cut",))
+        self.assertEqual(call.kwargs["request_id"], "r-cut")
+        self.assertEqual(call.kwargs["reason"], "stopped")
+
     def _has_ended(self, sock):
         sock.settimeout(0.05)
         try:
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -156,10 +156,15 @@
             return
         connection.close()
 
+    @property
+    def at_work(self):
+        """Return the number of messages that are being handled."""
+        return self._busy
+
     @property
     def is_idle(self):
         """Tell whether no message is being handled."""
-        return self._busy == 0
+        return self.at_work == 0
 
     def stop(self):
         """Close every idle connection and end the threads."""
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -8,6 +8,7 @@
 from waitress.task import WSGITask
 from waitress.utilities import Error
 
+from rattanworks.utils.logging import log_event
 from rattanworks.utils.sockets import is_closed_by_peer
 
 LARGE_BODY_BYTES = 256 * 1024
@@ -19,6 +20,8 @@
 CROWDED_CONNECTIONS = 1000
 HAS_LEFT_KEY = "rattanworks.has_left"
 RECEIVED_AT_KEY = "rattanworks.received_at"
+# Name under which waitress keeps the header with a request's id.
+REQUEST_ID_FIELD = "X_REQUEST_ID"
 
 
 class BusyError(Error):
@@ -121,11 +124,32 @@
         self.channel.write_soon(head + data)
 
 
+class ToldChannel(HTTPChannel):
+    """Logs each call that is at work when this side closes its connection.
+
+    ``close_reason`` is set by whoever closes the channel for another reason than
+    an error of its socket.
+    """
+
+    task_class = OneWriteTask
+    close_reason = "socket-error"
+
+    def handle_close(self):
+        """Close the connection."""
+        requests = self.requests
+        if self.connected and requests:
+            request = requests[0]
+            log_event(
+                "call-cut",
+                request_id=request.headers.get(REQUEST_ID_FIELD, ""),
+                path=request.path,
+                reason=self.close_reason,
+                seconds=round(time.monotonic() - request.received_at, 3),
+            )
+        super().handle_close()
+
+
 def channel_class(budget):
     """Return a channel class whose request bodies stay within ``budget``."""
     parser = type("Parser", (BoundedRequestParser,), {"budget": budget})
-    return type(
-        "Channel",
-        (HTTPChannel,),
-        {"parser_class": parser, "task_class": OneWriteTask},
-    )
+    return type("Channel", (ToldChannel,), {"parser_class": parser})
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -79,6 +79,7 @@
             if request is None or request.headers_finished:
                 continue
             if request.received_at < oldest:
+                channel.close_reason = "head-overdue"
                 channel.will_close = True
 
     def _run(self):
@@ -125,6 +126,7 @@
     def _close_connections(self):
         self._stop_listening()
         for channel in list(self._server.active_channels.values()):
+            channel.close_reason = "stopped"
             channel.handle_close()
 
     def close_idle_connections(self):
@@ -143,7 +145,12 @@
     @property
     def is_idle(self):
         """Tell whether no request runs or arrives and every answer is flushed."""
-        return not any(map(_is_busy, list(self._server.active_channels.values())))
+        return self.at_work == 0
+
+    @property
+    def at_work(self):
+        """Return the number of connections with a request that runs or arrives."""
+        return sum(map(_is_busy, list(self._server.active_channels.values())))
 
     @property
     def has_connections(self):
