--- a/rattanworks/tests/platform/builders.py
+++ b/rattanworks/tests/platform/builders.py
@@ -57,6 +57,16 @@
                     "service": "catalogue",
                     "attempts": 1,
                 },
+                {
+                    "name": "slow",
+                    "prefix": "/slow/",
+                    "routeType": "non_idempotent",
+                    "timeout": "20s",
+                    "targetLatency": "1s",
+                    "priority": 1,
+                    "service": "catalogue",
+                    "attempts": 1,
+                },
             ],
         }
     ],
--- a/rattanworks/tests/platform/session_tests.py
+++ b/rattanworks/tests/platform/session_tests.py
@@ -5,6 +5,7 @@
 import os
 import tempfile
 import threading
+import time
 import unittest
 from pathlib import Path
 
@@ -60,14 +61,14 @@
 backend = "{backend}"
 heartbeat = "30s"
 least_lease = "1s"
-bounds = ["grace=2s", "retryBudgetRatio=0.2", "budgetSlack=58"]
+bounds = ["grace={grace}", "retryBudgetRatio=0.2", "budgetSlack=58"]
 """
 
 
 class Session:
     """One node among stand-ins, and the text of what its callers see."""
 
-    def __init__(self, test):
+    def __init__(self, test, grace="2s"):
         self.platform = StandInPlatformStore()
         test.addCleanup(self.platform.close)
         self.backend = StandInPlatformBackend()
@@ -76,7 +77,11 @@
         test.addCleanup(folder.cleanup)
         path = Path(folder.name) / "node.toml"
         path.write_text(
-            SETTINGS.format(store=self.platform.address, backend=self.backend.address)
+            SETTINGS.format(
+                store=self.platform.address,
+                backend=self.backend.address,
+                grace=grace,
+            )
         )
         settings = load_platform_settings(path)
         self.daemon = Daemon(settings.node, PlatformAdapters(settings))
@@ -155,18 +160,20 @@
         return self.daemon.node.configuration.head.version
 
 
+def bring_up(test, session, **changes):
+    """Put a configuration in force and bring the backend server into service."""
+    session.platform.operator_writes("op/config", one_service_configuration(**changes))
+    test.assertTrue(session.wait(lambda: session.version == 7))
+    test.assertTrue(session.wait(session.is_ready))
+    test.assertEqual(session.beat(), 200)
+
+
 class SessionTests(unittest.TestCase):
     def setUp(self):
         self.session = Session(self)
 
     def bring_up(self, **changes):
-        session = self.session
-        session.platform.operator_writes(
-            "op/config", one_service_configuration(**changes)
-        )
-        self.assertTrue(session.wait(lambda: session.version == 7))
-        self.assertTrue(session.wait(session.is_ready))
-        self.assertEqual(session.beat(), 200)
+        bring_up(self, self.session, **changes)
 
     def test_one_request_of_each_kind(self):
         session = self.session
@@ -268,6 +275,47 @@
         self.assertFalse(stopping.is_alive())
 
 
+class PlannedStopTests(unittest.TestCase):
+    def test_a_call_at_work_keeps_its_connection_until_the_last_sixth_of_a_stop(self):
+        for grace_seconds in (2, 6):
+            with self.subTest(grace_seconds=grace_seconds):
+                kept_seconds = self.seconds_until_cut(grace_seconds)
+                # The platform excuses only calls at work in the last sixth.
+                self.assertGreaterEqual(kept_seconds, grace_seconds * 5 / 6)
+
+    def seconds_until_cut(self, grace_seconds):
+        session = Session(self, f"{grace_seconds}s")
+        bring_up(self, session)
+        release = threading.Event()
+        self.addCleanup(release.set)
+
+        def answer(environ, body):
+            release.wait(WAIT_SECONDS)
+            return 200, b"late"
+
+        session.backend.answer = answer
+        connection = http.client.HTTPConnection(
+            session.addresses["callers"], timeout=CALLER_SECONDS
+        )
+        self.addCleanup(connection.close)
+        headers = {
+            "Host": "shop.example",
+            "X-Request-Id": "r-at-work",
+            "X-Request-Deadline": "15000",
+        }
+        connection.request("POST", "/slow/1", b"one crate", headers)
+        self.assertTrue(session.wait(lambda: session.backend.has_begun("r-at-work")))
+        began = time.monotonic()
+        stopping = threading.Thread(target=session.stop)
+        stopping.start()
+        with self.assertRaises(http.client.RemoteDisconnected):
+            connection.getresponse()
+        kept_seconds = time.monotonic() - began
+        stopping.join(WAIT_SECONDS)
+        self.assertFalse(stopping.is_alive())
+        return kept_seconds
+
+
 class ReloadTests(unittest.TestCase):
     def test_a_changed_file_is_noticed_without_a_signal(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/rattanworks/tests/platform/standins.py
+++ b/rattanworks/tests/platform/standins.py
@@ -198,6 +198,14 @@
         self._lock = threading.Lock()
         super().__init__()
 
+    def has_begun(self, request_id):
+        """Tell whether the server has begun to run a request."""
+        with self._lock:
+            return any(
+                headers.get("X-Request-Id") == request_id
+                for _, _, headers, _ in self.requests
+            )
+
     def __call__(self, environ, start_response):
         body = read_body(environ)
         headers = dict(headers_of(environ))
