Keep calls at work until the last part of a planned stop

Callers saw their connection closed without an answer while a backend server was at work, 1.2 s before the time of a planned stop was over: a fixed 1.2 s was kept for the end of the process, whatever the whole stop may take, and new calls were taken for up to 4 s of it. With 2 s to stop, calls were cut after 0.8 s.

A call that comes late is taken only when its time ends before the stop could cut it, and refused at once otherwise. The listener stays open until the last call has ended, so that such callers get an answer instead of no connection, and a backend server's own calls go on. What a stop needs of the store and of neighbours is done beside the drain and never lengthens it by more than one request to the store.

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -8,6 +8,7 @@
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.utils.headers import request_headers
 from rattanworks.utils.http_parts import HAS_LEFT_KEY, RECEIVED_AT_KEY
+from rattanworks.utils.logging import log_event
 from rattanworks.utils.wsgi import (
     Response,
     body_of,
@@ -73,9 +74,10 @@
 class CallersApp:
     """WSGI application for outside callers and for the local backend server.
 
-    ``takes_call(received_at)`` tells whether a request that began to arrive at
-    that monotonic time is served. At most ``limit`` calls are handled at once,
-    fewer than the server has threads: the rest are left to refuse at once.
+    ``takes_call(received_at, deadline)`` tells whether a request that began to
+    arrive at the one monotonic time and waits until the other is served. At most
+    ``limit`` calls are handled at once, fewer than the server has threads: the rest
+    are left to refuse at once.
     """
 
     def __init__(self, entry, takes_call, clock, default_timeout, limit, dialect=None):
@@ -101,16 +103,12 @@
 
     def _answer(self, environ, request_id):
         received_at = environ.get(RECEIVED_AT_KEY, self._clock.monotonic())
-        if not self._takes_call(received_at):
-            return refusal(
-                503,
-                "the node is not ready or is stopping",
-                NOT_READY_RETRY_AFTER_SECONDS,
-            )
         try:
             timeout = self._dialect.timeout(environ, self._default_timeout)
         except ValueError:
             return refusal(400, "the request's time limit is no number: correct it")
+        if not self._takes_call(received_at, received_at + timeout):
+            return self._not_taken(request_id, timeout)
         if len(request_id) > MAX_ID_LENGTH:
             return refusal(400, f"X-Request-Id: at most {MAX_ID_LENGTH} characters")
         if len(self._dialect.idempotency_key(environ)) > MAX_ID_LENGTH:
@@ -120,6 +118,12 @@
             return refusal(400, "the path has dot segments: send it resolved")
         return self._handle(environ, request_id, path, received_at, timeout)
 
+    def _not_taken(self, request_id, timeout):
+        log_event("call-not-taken", request_id=request_id, seconds_left=timeout)
+        return refusal(
+            503, "the node is not ready or is stopping", NOT_READY_RETRY_AFTER_SECONDS
+        )
+
     def _handle(self, environ, request_id, path, received_at, timeout):
         dialect = self._dialect
         body = body_of(environ)
--- a/rattanworks/membership/gossip.py
+++ b/rattanworks/membership/gossip.py
@@ -25,7 +25,6 @@
 from rattanworks.utils.tasks import run_guarded
 
 PEER_TIMEOUT_SECONDS = 1.0
-STOP_TELL_SECONDS = 1.0
 MIN_REFRESH_SECONDS = 0.1
 SETTLE_SECONDS = 1.0
 URGENT_STATES = (EndpointState.SERVING, EndpointState.LEAVING)
@@ -84,10 +83,10 @@
         """Begin to gossip."""
         self._thread.start()
 
-    def stop(self):
-        """Tell neighbours that the node is gone, and end."""
+    def stop(self, tell_seconds):
+        """Tell neighbours within some seconds that the node is gone, and end."""
         self._members.announce_gone()
-        self.flush(STOP_TELL_SECONDS)
+        self.flush(tell_seconds)
         self._stopped.set()
         self._wake.set()
         for link in self.links_by_node.values():
--- a/rattanworks/node/adapters.py
+++ b/rattanworks/node/adapters.py
@@ -41,7 +41,7 @@
         """Return the WSGI application for the backend server beside the node."""
         threads = node.settings.traffic.local_threads
         calls = self._callers_app(
-            node, threads, lambda received_at: node.lifecycle.serves_local
+            node, threads, lambda received_at, deadline: node.lifecycle.serves_local
         )
         return LocalApp(calls, node.serve_announced, node.owner.leave)
 
--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -11,8 +11,8 @@
 from rattanworks.membership.contacts import read_contacts
 from rattanworks.node.composition import build_node
 from rattanworks.node.lifecycle import Phase
+from rattanworks.node.stopping import plan_stop
 from rattanworks.utils.backoff import FullJitterBackoff
-from rattanworks.utils.idle import wait_until_idle
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.signals import wait_with_signals
 
@@ -21,13 +21,16 @@
 # it serves all the same after this time.
 JOIN_PATIENCE_SECONDS = 2.0
 LEAVE_TELL_SECONDS = 1.0
+# Neighbours are told that the node is gone in a part of what is left of a stop.
+GONE_TELL_SECONDS = 1.0
+GONE_TELL_PART = 0.25
 JOIN_RETRY_BASE_SECONDS = 0.5
 JOIN_RETRY_CAP_SECONDS = 4.0
 CONTROL_GRACE_SECONDS = 0.5
 DRAIN_QUIET_SECONDS = 0.3
-DRAIN_LINGER_SECONDS = 3.0
 DRAIN_POLL_SECONDS = 0.02
-DRAINED_LISTENERS = ("callers", "local", "peers")
+QUIET_LISTENERS = ("local", "peers")
+DRAINED_LISTENERS = ("callers", *QUIET_LISTENERS)
 EXIT_FORCED = 1
 SWITCH_INTERVAL_SECONDS = 0.0005
 
@@ -156,32 +159,50 @@
         )
 
     def stop(self):
-        """Drain: take no new calls, let running ones end, then stop."""
+        """Drain: serve calls at work until they end or the stop must, then stop."""
         node = self._node
-        drain_until = time.monotonic() + node.settings.drain.timeout_seconds
-        node.lifecycle.advance(Phase.DRAINING)
-        began = time.monotonic()
+        plan = plan_stop(time.monotonic(), node.settings.drain)
+        node.lifecycle.begin_stop(plan)
         log_event(
             "node-draining",
             timeout_seconds=node.settings.drain.timeout_seconds,
             accept_seconds=node.settings.drain.accept_seconds,
             **self._at_work(),
         )
-        roles = threading.Thread(target=self._give_roles_up, name="roles", daemon=True)
-        roles.start()
-        self._serve_until_told(drain_until)
+        roles = self._beside(self._give_roles_up)
+        # The backend server goes on without its node: each second in which the node
+        # serves it is one in which the service has its slots.
+        node.servers_by_listener["callers"].close_after_answers()
+        _sleep_until(plan.serves_until)
         node.heartbeats.stop()
         node.owner.stop()
-        node.gossiper.flush(LEAVE_TELL_SECONDS)
-        self._drain_listeners(drain_until)
+        news = self._beside(lambda: node.gossiper.flush(LEAVE_TELL_SECONDS))
+        self._drain_listeners(plan)
         log_event(
             "node-drained",
-            seconds=round(time.monotonic() - began, 3),
-            has_timed_out=time.monotonic() >= drain_until,
+            seconds=round(time.monotonic() - plan.began, 3),
+            has_timed_out=time.monotonic() >= plan.calls_until,
             **self._at_work(),
         )
-        roles.join(max(0.0, drain_until - time.monotonic()))
-        node.gossiper.stop()
+        # Leases that the store does not take back now lapse by themselves.
+        patience = time.monotonic() + node.settings.store.timeout_seconds
+        for task in (roles, news):
+            task.join(max(0.0, min(patience, plan.calls_until) - time.monotonic()))
+        self._close(plan)
+        node.lifecycle.advance(Phase.STOPPED)
+        seconds = time.monotonic() - plan.began
+        log_event("node-stopped", seconds=round(seconds, 3))
+
+    def _beside(self, work):
+        """Do what a stop needs of others while callers are served."""
+        thread = threading.Thread(target=work, name="stop", daemon=True)
+        thread.start()
+        return thread
+
+    def _close(self, plan):
+        node = self._node
+        left = max(0.0, plan.ends_at - time.monotonic())
+        node.gossiper.stop(min(GONE_TELL_SECONDS, left * GONE_TELL_PART))
         node.spreader.stop()
         for server in node.servers_by_listener.values():
             server.stop()
@@ -190,8 +211,6 @@
         node.control_server.stop(CONTROL_GRACE_SECONDS)
         node.control_peers.close()
         node.store.close()
-        node.lifecycle.advance(Phase.STOPPED)
-        log_event("node-stopped", seconds=round(time.monotonic() - began, 3))
 
     def _at_work(self):
         """Return the number of calls at work by listener."""
@@ -204,36 +223,39 @@
         self._node.moves.stop()
         self._node.orders.stop()
 
-    def _serve_until_told(self, until):
-        """Serve on, backend server included, while callers learn of the stop.
-
-        The backend server goes on without its node: each second in which the node
-        serves it is one in which the service has its slots.
-        """
-        self._node.servers_by_listener["callers"].close_after_answers()
-        left = max(0.0, until - time.monotonic())
-        time.sleep(min(left, self._node.settings.drain.accept_seconds))
-
-    def _drain_listeners(self, until):
-        """Wait until calls in flight, bodies that arrive included, have ended.
-
-        ``until`` is the monotonic time at which the wait ends in any case.
-        """
-        node = self._node
-        callers = node.servers_by_listener["callers"]
-        callers.drain()
+    def _drain_listeners(self, plan):
+        """Wait until calls at work, bodies that arrive included, have ended."""
+        callers = self._node.servers_by_listener["callers"]
         # An idle connection that is closed may cross its next request: callers
         # get time to learn from an answer that it is the connection's last.
-        linger = DRAIN_LINGER_SECONDS - node.settings.drain.accept_seconds
-        linger_until = min(until, time.monotonic() + linger)
-        while callers.has_connections and time.monotonic() < linger_until:
+        while callers.has_connections and time.monotonic() < plan.lingers_until:
+            time.sleep(DRAIN_POLL_SECONDS)
+        self._serve_until_idle(plan)
+        callers.drain()
+        last_look = min(plan.calls_until, time.monotonic() + DRAIN_QUIET_SECONDS)
+        while callers.has_connections and time.monotonic() < last_look:
             time.sleep(DRAIN_POLL_SECONDS)
         # A connection that stays open could bring a request until the very end.
-        while callers.has_connections and time.monotonic() < until:
+        while callers.has_connections and time.monotonic() < plan.calls_until:
             callers.close_idle_connections()
             time.sleep(DRAIN_POLL_SECONDS)
-        for name in DRAINED_LISTENERS:
+
+    def _serve_until_idle(self, plan):
+        """Keep listening: callers who do not know yet are answered or refused."""
+        servers = self._node.servers_by_listener
+        callers = servers["callers"]
+        quiet_since = time.monotonic()
+        while time.monotonic() < plan.calls_until:
+            callers.close_idle_connections(plan.lingers_until)
             # Entries that have not heard the news yet still send calls; a quiet
             # spell shows that all have.
-            left = max(0.0, until - time.monotonic())
-            wait_until_idle(node.servers_by_listener[name], left, DRAIN_QUIET_SECONDS)
+            if not all(servers[name].is_idle for name in QUIET_LISTENERS):
+                quiet_since = time.monotonic()
+            is_quiet = time.monotonic() - quiet_since >= DRAIN_QUIET_SECONDS
+            if is_quiet and callers.is_idle:
+                return
+            time.sleep(DRAIN_POLL_SECONDS)
+
+
+def _sleep_until(moment):
+    time.sleep(max(0.0, moment - time.monotonic()))
--- a/rattanworks/node/lifecycle.py
+++ b/rattanworks/node/lifecycle.py
@@ -2,9 +2,6 @@
 
 import enum
 import threading
-import time
-
-DRAIN_GRACE_SECONDS = 4.0
 
 
 class Phase(enum.Enum):
@@ -29,7 +26,7 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._draining_since = 0.0
+        self._stop_plan = None
         self.phase = Phase.STARTING
 
     @property
@@ -50,23 +47,26 @@
         """
         return self.phase in (Phase.READY, Phase.DRAINING)
 
-    def takes_call(self, received_at):
-        """Tell whether to serve a call whose first byte came at a monotonic time.
+    def takes_call(self, received_at, deadline):
+        """Tell whether to serve a call by its first byte and its deadline.
 
-        A planned stop cuts nothing that had begun to arrive; callers who have
-        not yet seen their connection close get a short grace.
+        Both are monotonic times. What had begun to arrive when a planned stop
+        began is served; later calls are as the stop's plan says.
         """
-        if self.phase == Phase.READY:
-            return True
-        begun = received_at <= self._draining_since + DRAIN_GRACE_SECONDS
-        return self.phase == Phase.DRAINING and begun
+        if self.phase == Phase.DRAINING:
+            return self._stop_plan.takes_call(received_at, deadline)
+        return self.is_ready
+
+    def begin_stop(self, plan):
+        """Enter the draining phase under a StopPlan; tell whether that was possible."""
+        with self._lock:
+            self._stop_plan = plan
+        return self.advance(Phase.DRAINING)
 
     def advance(self, phase):
         """Enter a later phase and tell whether that was possible."""
         with self._lock:
             if phase not in NEXT_PHASES[self.phase]:
                 return False
-            if phase == Phase.DRAINING:
-                self._draining_since = time.monotonic()
             self.phase = phase
             return True
--- a/rattanworks/platform/settings.py
+++ b/rattanworks/platform/settings.py
@@ -20,8 +20,6 @@
 from rattanworks.settings.node import NODE, ListenSettings, NodeSettings
 
 ENVIRONMENT_KEY = "RATTANWORKS_NODE_FILE"
-# Kept for the end of the process after its calls have drained.
-END_SECONDS = 1.2
 # Callers learn within two questions, a second apart, that a node leaves.
 TOLD_SECONDS = 2.5
 # Part of the shared budget of repeats that entries use. A backend server that runs a
@@ -137,11 +135,10 @@
 
 def _with_bounds(node, bounds):
     if "grace" in bounds:
-        timeout = max(0.0, parse_duration(bounds["grace"]) - END_SECONDS)
         drain = dataclasses.replace(
             node.drain,
-            timeout_seconds=timeout,
-            accept_seconds=min(TOLD_SECONDS, timeout),
+            timeout_seconds=parse_duration(bounds["grace"]),
+            accept_seconds=TOLD_SECONDS,
         )
         node = dataclasses.replace(node, drain=drain)
     if "retryBudgetRatio" in bounds:
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -99,10 +99,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainSettings:
-    """How long a planned stop may take.
+    """How long a planned stop may take, the end of the process included.
 
-    For the first ``accept_seconds`` of it the node serves on, new connections
-    included, while callers learn that it is no longer ready.
+    For the first ``accept_seconds`` of it, half of it at most, the node serves on
+    while callers learn that it is no longer ready.
     """
 
     timeout_seconds: float
--- a/rattanworks/tests/adapters/callers_tests.py
+++ b/rattanworks/tests/adapters/callers_tests.py
@@ -42,7 +42,11 @@
         self.budget = MemoryBudget(6 * MEBIBYTE)
         self.takes_calls = True
         self.app = CallersApp(
-            self.entry, lambda received_at: self.takes_calls, SystemClock(), 5.0, 2
+            self.entry,
+            lambda received_at, deadline: self.takes_calls,
+            SystemClock(),
+            5.0,
+            2,
         )
         self.server = HttpServer(
             self.app, "127.0.0.1", 0, 6, MAX_BODY_BYTES, "callers", self.budget
@@ -188,7 +192,9 @@
             return [send.result(TIMEOUT_SECONDS).status for send in sends]
 
     def test_calls_of_the_local_server_have_a_pool_of_their_own(self):
-        own = CallersApp(self.entry, lambda received_at: True, SystemClock(), 5.0, 2)
+        own = CallersApp(
+            self.entry, lambda received_at, deadline: True, SystemClock(), 5.0, 2
+        )
         self.assertEqual(self.nested_statuses(own), [200, 200])
         # The first refusal may free the room that the other one then finds.
         self.assertIn(503, self.nested_statuses(self.app))
--- a/rattanworks/tests/node/lifecycle_tests.py
+++ b/rattanworks/tests/node/lifecycle_tests.py
@@ -1,20 +1,24 @@
-import time
+import math
 import unittest
 
 from rattanworks.node.lifecycle import Lifecycle, Phase
+from rattanworks.node.stopping import plan_stop
+from rattanworks.settings.node import DrainSettings
+
+BEGAN = 1000.0
 
 
 class LifecycleTests(unittest.TestCase):
     def test_a_draining_node_serves_what_had_begun_to_arrive(self):
         lifecycle = Lifecycle()
-        before = time.monotonic()
-        self.assertFalse(lifecycle.takes_call(before))
+        before = BEGAN - 1.0
+        self.assertFalse(lifecycle.takes_call(before, math.inf))
         lifecycle.advance(Phase.READY)
-        self.assertTrue(lifecycle.takes_call(before + 100.0))
-        lifecycle.advance(Phase.DRAINING)
-        self.assertTrue(lifecycle.takes_call(before))
-        self.assertFalse(lifecycle.takes_call(time.monotonic() + 100.0))
+        self.assertTrue(lifecycle.takes_call(before + 100.0, math.inf))
+        lifecycle.begin_stop(plan_stop(BEGAN, DrainSettings(30.0)))
+        self.assertTrue(lifecycle.takes_call(before, math.inf))
+        self.assertFalse(lifecycle.takes_call(BEGAN + 100.0, math.inf))
         self.assertTrue(lifecycle.serves_local)
         lifecycle.advance(Phase.STOPPED)
-        self.assertFalse(lifecycle.takes_call(before))
+        self.assertFalse(lifecycle.takes_call(before, math.inf))
         self.assertFalse(lifecycle.serves_local)
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -134,6 +134,10 @@
     task_class = OneWriteTask
     close_reason = "socket-error"
 
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.opened_at = time.monotonic()
+
     def handle_close(self):
         """Close the connection."""
         requests = self.requests
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -1,5 +1,6 @@
 """A waitress server that starts, drains and stops cleanly."""
 
+import math
 import threading
 import time
 
@@ -129,17 +130,18 @@
             channel.close_reason = "stopped"
             channel.handle_close()
 
-    def close_idle_connections(self):
+    def close_idle_connections(self, opened_before=math.inf):
         """Close the connections on which no request runs, arrives or is answered.
 
-        It is done on the thread that reads: a request that has not been read then
-        never will be, and none that has been read is cut.
+        Those opened later than a monotonic time stay: their first request may be
+        under way. It is done on the thread that reads: a request that has not been
+        read then never will be, and none that has been read is cut.
         """
-        self._server.trigger.pull_trigger(self._close_idle)
+        self._server.trigger.pull_trigger(lambda: self._close_idle(opened_before))
 
-    def _close_idle(self):
+    def _close_idle(self, opened_before):
         for channel in list(self._server.active_channels.values()):
-            if not _is_busy(channel):
+            if not _is_busy(channel) and channel.opened_at < opened_before:
                 channel.handle_close()
 
     @property
