Log no cut for a call whose answer has left

The channel now looks whether an answer was begun and all its bytes have left, under the lock of its buffers.

--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -49,6 +49,18 @@
             lambda: not self.server.has_connections, LIMIT_SECONDS, "it is closed"
         )
 
+    def test_a_connection_that_closes_after_its_answer_is_no_cut_call(self):
+        self.server.close_after_answers()
+        with unittest.mock.patch.object(http_parts, "log_event") as log_event:
+            for number in range(50):
+                connection = self.connect()
+                connection.request("GET", f"/{number}")
+                self.assertEqual(connection.getresponse().read(), b"whole")
+            wait_until(
+                lambda: not self.server.has_connections, LIMIT_SECONDS, "all closed"
+            )
+        log_event.assert_not_called()
+
     def test_idle_connections_close_and_a_running_request_is_answered(self):
         idle, busy = self.connect(), self.connect()
         idle.request("GET", "/first")
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -113,6 +113,7 @@
 
     def write(self, data):
         """Write a part of the body, with the head in front of the first."""
+        self.channel.is_answering = True
         is_first = not self.wrote_header and self.complete
         is_plain = self.content_length == len(data) and 0 < len(data) <= JOINED_BYTES
         if not (is_first and is_plain and self.has_body):
@@ -133,15 +134,24 @@
 
     task_class = OneWriteTask
     close_reason = "socket-error"
+    # A request stays in the list of the channel until after its answer has left.
+    is_answering = False
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.opened_at = time.monotonic()
 
+    def service(self):
+        """Serve the next request."""
+        self.is_answering = False
+        super().service()
+
     def handle_close(self):
         """Close the connection."""
         requests = self.requests
-        if self.connected and requests:
+        with self.outbuf_lock:
+            has_left = self.is_answering and not self.total_outbufs_len
+        if self.connected and requests and not has_left:
             request = requests[0]
             log_event(
                 "call-cut",
