Let an overdue head wait for the answers to the requests before it

What callers saw: a connection closed without an answer while the backend server ran their call, when the first bytes of their next request (a partial head) had followed the call and the head's time limit passed before the answer came.

Cause: the look-out for overdue heads closed the connection whatever else it carried, and counted from the head's first byte, though the server reads no further head while requests in front of it are at work.

Evidence, before: pipelined_requests_tests LimitTests test_an_overdue_head_does_not_cut_the_request_at_work_before_it, "b'/slow whole 0\n' not found in b''", and so the test of a head's whole time (it moved received_at then, head_since now). The tests of a head with nothing in front of it and of the smaller limits of a new version passed before and after.

Why it works: while requests are at work or an answer is being written, the time for the head starts anew (head_since); afterwards it is bounded as before.

--- /dev/null
+++ b/rattanworks/tests/utils/pipelined_requests_tests.py
@@ -0,0 +1,117 @@
+"""Requests that share a connection with one that is at work."""
+
+import socket
+import threading
+import time
+import unittest
+
+from rattanworks.bench.fleet import wait_until
+from rattanworks.model.route import CallerLimits
+from rattanworks.utils.http_server import HttpServer
+from rattanworks.utils.wsgi import Response, path_of, read_body, respond
+
+LIMIT_SECONDS = 30.0
+HEADER_SECONDS = 0.2
+SLOW = b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+NEXT = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class PipelinedTests(unittest.TestCase):
+    def setUp(self):
+        self.started, self.release = threading.Event(), threading.Event()
+        self.addCleanup(self.release.set)
+        self.server = HttpServer(self.app, "127.0.0.1", 0, 4, 65536, "test")
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        host, _, port = self.server.address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)), LIMIT_SECONDS)
+        self.addCleanup(self.sock.close)
+
+    def app(self, environ, start_response):
+        body = read_body(environ)
+        if path_of(environ) == "/slow":
+            self.started.set()
+            self.release.wait(LIMIT_SECONDS)
+        answer = f"{path_of(environ)} whole {len(body)}\n"
+        return respond(start_response, Response(200, answer.encode()))
+
+    @property
+    def channels(self):
+        return list(self.server._server.active_channels.values())
+
+    def begin(self, content):
+        """Send requests of which the first is slow; return once it is at work."""
+        self.sock.sendall(content)
+        self.assertTrue(self.started.wait(LIMIT_SECONDS))
+
+    def wait_until_read_on(self):
+        """Wait until the connection has a request that arrives."""
+        wait_until(
+            lambda: any(channel.request for channel in self.channels),
+            LIMIT_SECONDS,
+            "a part of the next request is read",
+        )
+
+    def wait_for_maintenance(self, times=2):
+        """Wait until the server has looked for overdue connections."""
+        done = threading.Semaphore(0)
+        maintain = self.server._maintain
+
+        def counted(now):
+            maintain(now)
+            done.release()
+
+        self.server._server.maintenance = counted
+        for _ in range(times):
+            self.assertTrue(done.acquire(timeout=LIMIT_SECONDS))
+
+    def read_until(self, ending):
+        """Return the bytes that come until some text, or until the end."""
+        got = b""
+        while ending not in got and (piece := self.sock.recv(65536)):
+            got += piece
+        return got
+
+
+class LimitTests(PipelinedTests):
+    def test_an_overdue_head_does_not_cut_the_request_at_work_before_it(self):
+        self.server.apply(CallerLimits(header_seconds=HEADER_SECONDS))
+        self.begin(SLOW + NEXT[:-4])
+        self.wait_until_read_on()
+        time.sleep(2 * HEADER_SECONDS)
+        self.wait_for_maintenance()
+        self.release.set()
+        self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
+
+    def test_a_head_has_its_whole_time_once_the_requests_before_it_are_answered(self):
+        self.server.apply(CallerLimits(header_seconds=3.0))
+        self.begin(SLOW + NEXT[:-4])
+        self.wait_until_read_on()
+        # It began to arrive long before its turn.
+        self.channels[0].request.head_since -= 60.0
+        self.wait_for_maintenance()
+        self.release.set()
+        self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
+        self.wait_for_maintenance(1)
+        self.sock.sendall(NEXT[-4:])
+        self.assertIn(b"/next whole 0\n", self.read_until(b"whole 0\n"))
+
+    def test_an_overdue_head_still_ends_a_connection_with_nothing_else(self):
+        self.server.apply(CallerLimits(header_seconds=HEADER_SECONDS))
+        self.begin(SLOW + NEXT[:-4])
+        self.release.set()
+        self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
+        self.assertEqual(self.sock.recv(65536), b"")
+
+    def test_smaller_limits_of_a_new_version_leave_a_request_at_work_alone(self):
+        self.begin(SLOW)
+        self.server.apply(CallerLimits(16, 0, 0.001, 0.001))
+        for channel in self.channels:
+            channel.last_activity -= 60.0
+        self.wait_for_maintenance()
+        self.release.set()
+        self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -41,13 +41,17 @@
 
 
 class BoundedRequestParser(HTTPRequestParser):
-    """Reserves room for a large body before it is received."""
+    """Reserves room for a large body before it is received.
+
+    ``received_at`` is the monotonic time of the first byte, ``head_since`` the one
+    from which the time for the head counts.
+    """
 
     budget = None
 
     def __init__(self, adj):
         super().__init__(adj)
-        self.received_at = time.monotonic()
+        self.received_at = self.head_since = time.monotonic()
         self._reserved = 0
 
     def received(self, data):
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -72,14 +72,20 @@
         self._header_seconds = limits.header_seconds
 
     def _maintain(self, now):
-        """Close idle connections, and those whose request head is overdue."""
+        """Close idle connections, and those whose request head is overdue.
+
+        The time for a head counts from the answers to the requests before it: till
+        then the connection must stay, and the rest of the head may not be read.
+        """
         type(self._server).maintenance(self._server, now)
         oldest = time.monotonic() - self._header_seconds
         for channel in list(self._server.active_channels.values()):
             request = channel.request
             if request is None or request.headers_finished:
                 continue
-            if request.received_at < oldest:
+            if channel.requests or channel.total_outbufs_len:
+                request.head_since = time.monotonic()
+            elif request.head_since < oldest:
                 channel.close_reason = "head-overdue"
                 channel.will_close = True
 
