Answer each whole request that was read before a connection's last answer

What callers saw: of two requests sent behind one another, the second got no answer when the node had begun to stop, or was crowded, while the first was at work.

Cause: such a node marks the next answer as the connection's last, and waitress drops whatever it has read behind the request that this answers.

Evidence, before: pipelined_requests_tests ClosingTests (a stop and a crowded server), "b'Connection: close' unexpectedly found in b'HTTP/1.1 200 OK\r\nConnection: close..." in the first answer, and no second.

A request read between the head of the last answer and its end is dropped as before: its caller gets "Connection: close" in front of any answer to it.

--- a/rattanworks/tests/utils/pipelined_requests_tests.py
+++ b/rattanworks/tests/utils/pipelined_requests_tests.py
@@ -4,9 +4,11 @@
 import threading
 import time
 import unittest
+import unittest.mock
 
 from rattanworks.bench.fleet import wait_until
 from rattanworks.model.route import CallerLimits
+from rattanworks.utils import http_parts
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.wsgi import Response, path_of, read_body, respond
 
@@ -113,5 +115,31 @@
         self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
 
 
+class ClosingTests(PipelinedTests):
+    """Each connection is closed after an answer, which must be its last."""
+
+    def assert_both_are_answered(self):
+        wait_until(
+            lambda: any(len(channel.requests) == 2 for channel in self.channels),
+            LIMIT_SECONDS,
+            "the second request is read whole",
+        )
+        self.release.set()
+        first, _, second = self.read_until(b"/next whole").partition(b"/slow whole")
+        self.assertNotIn(b"Connection: close", first)
+        self.assertIn(b"Connection: close", second)
+        self.assertIn(b"/next whole", second)
+
+    def test_a_stop_answers_a_whole_request_read_behind_one_at_work(self):
+        self.begin(SLOW + NEXT)
+        self.server.drain()
+        self.assert_both_are_answered()
+
+    def test_a_crowded_server_answers_a_whole_request_read_behind_one_at_work(self):
+        with unittest.mock.patch.object(http_parts, "CROWDED_CONNECTIONS", 0):
+            self.begin(SLOW + NEXT)
+            self.assert_both_are_answered()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -94,7 +94,10 @@
 
 
 class OneWriteTask(WSGITask):
-    """Writes headers and a small body at once and closes while draining."""
+    """Writes headers and a small body at once and closes while draining.
+
+    A connection is closed after the answer to the last request read from it.
+    """
 
     def get_environment(self):
         """Return the WSGI environment with the time of the first byte."""
@@ -110,11 +113,18 @@
 
     def build_response_header(self):
         """Return the response's head."""
-        server = self.channel.server
-        if server.is_draining or len(server.active_channels) > CROWDED_CONNECTIONS:
+        if self._is_last_wanted() and not self._is_followed():
             self.set_close_on_finish()
         return super().build_response_header()
 
+    def _is_last_wanted(self):
+        server = self.channel.server
+        return server.is_draining or len(server.active_channels) > CROWDED_CONNECTIONS
+
+    def _is_followed(self):
+        # What is read already would be dropped without an answer.
+        return len(self.channel.requests) > 1
+
     def write(self, data):
         """Write a part of the body, with the head in front of the first."""
         self.channel.is_answering = True
