Guard calls at work against changes of their endpoint and configuration

Read and tested: an endpoint that leaves, stops, falls silent, is replaced, changes its version or slots or is another instance; a version without the route or with smaller limits; a chain through a node that begins to stop. Calls at work end as usual, and those that wait are refused as not run or served.

--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -8,7 +8,11 @@
 from rattanworks.admission.limits import PlanLimits
 from rattanworks.admission.owner import Owner
 from rattanworks.bench.fleet import wait_until
-from rattanworks.exceptions import CallNotSentError, CallOutcomeUnknownError
+from rattanworks.exceptions import (
+    CallMisdirectedError,
+    CallNotSentError,
+    CallOutcomeUnknownError,
+)
 from rattanworks.membership.members import Members
 from rattanworks.model.call import Answer, Outcome
 from rattanworks.model.endpoint import EndpointState
@@ -238,3 +242,88 @@
         self.assertTrue(self.owner.renew(build_announcement()))
         self.attach(instance="second")
         self.assertEqual(self.state(), EndpointState.LEAVING)
+
+
+class EndpointEndTests(OwnerTestCase):
+    """An endpoint ends while a call is at work and others wait."""
+
+    def setUp(self):
+        super().setUp()
+        self.gate, self.error = threading.Event(), None
+        self.addCleanup(self.gate.set)
+        self.attach(FakeBackendServer(self.hold), slots=2)
+
+    def hold(self, call):
+        if call.request_id == "failing":
+            raise self.error
+        self.gate.wait(LIMIT_SECONDS)
+        return Answer(200)
+
+    def fall_silent(self):
+        for _ in range(4):
+            self.owner.check_heartbeat(1.0)
+
+    def is_replaced(self):
+        self.attach(FakeBackendServer(), instance="second", slots=5)
+
+    def has_another_version(self):
+        self.attach(FakeBackendServer(), version="v2")
+
+    def has_fewer_slots(self):
+        self.attach(FakeBackendServer(), slots=1)
+
+    def begin(self, executor, count):
+        """Return the futures of calls at which the backend server is at work."""
+        held = [
+            executor.submit(self.dispatch, request_id=f"held-{n}", customer="guest")
+            for n in range(count)
+        ]
+        wait_until(lambda: self.owner.running == count, LIMIT_SECONDS, "at work")
+        return held
+
+    def assert_are_answered(self, held):
+        self.assertFalse(any(future.done() for future in held))
+        self.gate.set()
+        for future in held:
+            self.assertEqual(future.result(LIMIT_SECONDS).status, 200)
+
+    def assert_ends_well(self, end, waiter_runs):
+        """End the endpoint and see to the calls at work and the one that waits."""
+        with ThreadPoolExecutor(3) as executor:
+            held = self.begin(executor, 2)
+            waiter = executor.submit(self.dispatch, customer="guest")
+            wait_until(lambda: self.owner.waiting, LIMIT_SECONDS, "one waits")
+            end()
+            if not waiter_runs:
+                answer = waiter.result(LIMIT_SECONDS)
+                self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+            self.assert_are_answered(held)
+            if waiter_runs:
+                self.assertEqual(waiter.result(LIMIT_SECONDS).status, 200)
+
+    def test_a_server_that_leaves(self):
+        self.assert_ends_well(self.owner.leave, waiter_runs=False)
+
+    def test_a_node_that_stops(self):
+        self.assert_ends_well(self.owner.stop, waiter_runs=False)
+
+    def test_a_silent_server(self):
+        self.assert_ends_well(self.fall_silent, waiter_runs=False)
+
+    def test_a_replaced_server(self):
+        self.assert_ends_well(self.is_replaced, waiter_runs=False)
+
+    def test_a_server_of_another_version(self):
+        self.assert_ends_well(self.has_another_version, waiter_runs=True)
+
+    def test_a_server_with_fewer_slots(self):
+        self.assert_ends_well(self.has_fewer_slots, waiter_runs=True)
+
+    def test_a_server_that_says_it_is_another_instance(self):
+        self.error = CallMisdirectedError("another instance")
+        with ThreadPoolExecutor(1) as executor:
+            held = self.begin(executor, 1)
+            answer = self.dispatch(request_id="failing", customer="guest")
+            self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+            self.assertEqual(self.members.own.state, EndpointState.LEAVING)
+            self.assert_are_answered(held)
--- /dev/null
+++ b/rattanworks/tests/platform/changes_at_work_tests.py
@@ -0,0 +1,117 @@
+"""Changes at a node that leave the calls alone at which its backend server works."""
+
+import dataclasses
+import json
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from rattanworks.settings.node import DrainSettings
+from rattanworks.tests.platform.builders import one_service_configuration
+from rattanworks.tests.platform.session_tests import WAIT_SECONDS, Session
+
+RULE_TIMEOUT = "20s"
+HEADERS = (("Host", "shop.example"), ("X-Request-Deadline", "15000"))
+
+
+def patient_configuration(drops=(), **changes):
+    """Return a configuration whose routes give calls 20 s, without some of them."""
+    fields = json.loads(one_service_configuration(**changes))
+    for host in fields["virtualHosts"]:
+        host["pathRules"] = [
+            {**rule, "timeout": RULE_TIMEOUT}
+            for rule in host["pathRules"]
+            if rule["name"] not in drops
+        ]
+    return json.dumps(fields).encode()
+
+
+class ChangesTests(unittest.TestCase):
+    def setUp(self):
+        self.session = session = Session(self)
+        self.started, self.release = threading.Event(), threading.Event()
+        self.executor = ThreadPoolExecutor(4)
+        self.addCleanup(self.executor.shutdown)
+        self.addCleanup(self.release.set)
+        session.backend.answer = self.answer
+        session.platform.operator_writes("op/config", patient_configuration())
+        self.assertTrue(session.wait(lambda: session.version == 7))
+        self.assertTrue(session.wait(session.is_ready))
+        self.assertEqual(session.beat(), 200)
+
+    def answer(self, environ, body):
+        if environ["PATH_INFO"] in ("/lookup/held", "/lookup/chain"):
+            self.started.set()
+            self.release.wait(WAIT_SECONDS)
+        if environ["PATH_INFO"] == "/lookup/chain":
+            return self.status_of("/lookup/next"), b"of the chain"
+        return 200, b"whole"
+
+    def status_of(self, target):
+        """Send one call and return the status of its answer."""
+        return self.session.exchange("callers", "GET", target, HEADERS)[0]
+
+    def begin(self, target="/lookup/held"):
+        """Return the future status of a call at which the server is at work."""
+        call = self.executor.submit(self.status_of, target)
+        self.assertTrue(self.started.wait(WAIT_SECONDS))
+        return call
+
+    def come_into_force(self, **changes):
+        content = patient_configuration(version="0000000c", **changes)
+        self.session.platform.operator_writes("op/config", content)
+        self.assertTrue(self.session.wait(lambda: self.session.version == 12))
+
+    def assert_is_answered(self, call):
+        self.assertFalse(call.done())
+        self.release.set()
+        self.assertEqual(call.result(WAIT_SECONDS), 200)
+
+    def test_a_version_without_the_route(self):
+        call = self.begin()
+        self.come_into_force(drops=("lookup",))
+        self.assertEqual(self.status_of("/lookup/after"), 404)
+        self.assert_is_answered(call)
+
+    def test_a_version_with_smaller_limits_of_connections(self):
+        call = self.begin()
+        limits = {
+            "maxHeaderBytes": 256,
+            "maxBodyBytes": 1,
+            "headerTimeout": "10ms",
+            "idleTimeout": "10ms",
+        }
+        self.come_into_force(limits=limits)
+        self.assert_is_answered(call)
+
+    def test_a_backend_server_that_leaves(self):
+        call = self.begin()
+        self.assertEqual(self.session.beat(state="draining", sequence=2), 200)
+        self.assertEqual(self.status_of("/lookup/after"), 503)
+        self.assert_is_answered(call)
+
+    def test_a_backend_server_that_another_one_follows(self):
+        call = self.begin()
+        self.assertEqual(self.session.beat("i-2", born=2000), 200)
+        self.assertTrue(
+            self.session.wait(lambda: self.session.daemon.node.owner.running == 0)
+        )
+        self.assert_is_answered(call)
+
+    def test_a_chain_of_calls_through_a_node_that_begins_to_stop(self):
+        session = self.session
+        node = session.daemon.node
+        node.settings = dataclasses.replace(
+            node.settings, drain=DrainSettings(timeout_seconds=20, accept_seconds=6)
+        )
+        call = self.begin("/lookup/chain")
+        stopping = threading.Thread(target=session.stop)
+        stopping.start()
+        self.assertTrue(session.wait(lambda: node.lifecycle.is_draining))
+        self.assert_is_answered(call)
+        stopping.join(WAIT_SECONDS)
+        self.assertFalse(stopping.is_alive())
+
+
+if __name__ == "__main__":
+    unittest.main()
