Keep the limits under which a request began to arrive

What callers saw: 413 or 431, which say that no repeat helps, and a reset connection, for a request that a node had begun to take when a version with smaller limits came into force.

Cause: new limits were written into the settings that waitress reads with each piece of a request, though they are meant from the next request on (HttpServer.apply).

Evidence, before: pipelined_requests_tests LimitTests, a body that arrives: "b'/body whole 2000\n' not found in b'HTTP/1.1 413 Request Entity Too Large...", a head that arrives: "...HTTP/1.0 431 Request Header Fields Too Large...".

Why it works: a request takes the limits of the moment in which it begins, on open connections too, and keeps them (ParserSettings).

--- a/rattanworks/tests/utils/pipelined_requests_tests.py
+++ b/rattanworks/tests/utils/pipelined_requests_tests.py
@@ -114,6 +114,26 @@
         self.release.set()
         self.assertIn(b"/slow whole 0\n", self.read_until(b"whole 0\n"))
 
+    def test_a_body_that_arrives_keeps_the_limit_under_which_it_began(self):
+        head = b"POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+        self.sock.sendall(head + bytes(500))
+        self.wait_until_read_on()
+        self.server.apply(CallerLimits(max_body_bytes=1000))
+        self.sock.sendall(bytes(1500))
+        self.assertIn(b"/body whole 2000\n", self.read_until(b"whole 2000\n"))
+        self.sock.sendall(head)
+        self.assertIn(b" 413 ", self.read_until(b"\r\n"))
+
+    def test_a_head_that_arrives_keeps_the_limit_under_which_it_began(self):
+        head = NEXT[:-2] + b"X-Long: " + b"a" * 1000 + b"\r\n\r\n"
+        self.sock.sendall(head[:600])
+        self.wait_until_read_on()
+        self.server.apply(CallerLimits(max_header_bytes=300))
+        self.sock.sendall(head[600:])
+        self.assertIn(b"/next whole 0\n", self.read_until(b"whole 0\n"))
+        self.sock.sendall(head)
+        self.assertIn(b" 431 ", self.read_until(b"\r\n"))
+
 
 class ClosingTests(PipelinedTests):
     """Each connection is closed after an answer, which must be its last."""
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from dataclasses import dataclass
 
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
@@ -40,6 +41,26 @@
         return status, [*headers, *extra], body
 
 
+@dataclass(frozen=True, slots=True)
+class ParserSettings:
+    """What the parser needs of waitress' settings; sizes are in bytes."""
+
+    max_request_header_size: int
+    max_request_body_size: int
+    inbuf_overflow: int
+    url_scheme: str
+
+    @classmethod
+    def of(cls, adjustments):
+        """Return the settings as they are now."""
+        return cls(
+            adjustments.max_request_header_size,
+            adjustments.max_request_body_size,
+            adjustments.inbuf_overflow,
+            adjustments.url_scheme,
+        )
+
+
 class BoundedRequestParser(HTTPRequestParser):
     """Reserves room for a large body before it is received.
 
@@ -50,7 +71,8 @@
     budget = None
 
     def __init__(self, adj):
-        super().__init__(adj)
+        # The limits may change while the request arrives.
+        super().__init__(ParserSettings.of(adj))
         self.received_at = self.head_since = time.monotonic()
         self._reserved = 0
 
