Guard stops half-way through something else, and long calls over the hop

Planned stops of real processes: while a body still arrives, right after the settings are read again, of the owner with a call at work, and before the node is ready with a silent store. And a call between nodes that runs, on a connection that was idle, longer than each limit of the connection. All pass without a change.

--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -1,6 +1,7 @@
 import threading
 import time
 import unittest
+import unittest.mock
 
 from rattanworks.adapters.peer_calls import FramePeerCalls
 from rattanworks.adapters.peer_clock import ClockGap, encode_clock
@@ -15,7 +16,9 @@
 )
 from rattanworks.model.call import Answer, StreamedBody, refusal
 from rattanworks.tests.builders import build_call, build_record
+from rattanworks.utils import frames
 from rattanworks.utils.frames import FrameServer
+from rattanworks.utils.sockets import PROMPT
 
 LARGE_BODY = bytes(range(256)) * 4096
 TIMEOUT_SECONDS = 10.0
@@ -243,3 +246,18 @@
         release.set()
         for thread in waiting:
             thread.join()
+
+    def test_no_limit_of_a_connection_ends_a_call_that_runs_longer(self):
+        with unittest.mock.patch.object(frames, "STALL_SECONDS", 1):
+            longest = PROMPT.idle_seconds * (1 + PROMPT.probes)
+            held = threading.Event()
+
+            def run(message, call):
+                held.wait(longest + 0.5)
+                return Answer(200, body=str(call.is_abandoned()).encode())
+
+            self.serve(run)
+            self.assertEqual(self.dispatch().body, b"False")
+            # And the same on a connection that was idle for as long.
+            held.wait(longest + 0.5)
+            self.assertEqual(self.dispatch(method="POST").body, b"False")
--- /dev/null
+++ b/rattanworks/tests/node/stops_tests.py
@@ -0,0 +1,86 @@
+"""Planned stops of real processes that meet something else half-way."""
+
+import os
+import signal
+import socket
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from rattanworks.bench.caller import Caller
+from rattanworks.bench.fleet import Place, running_fleet, running_store, wait_until
+from rattanworks.tests.builders import build_lists
+
+LIMIT_SECONDS = 30.0
+WORK_SECONDS = b'{"work_seconds": 1.5}'
+BODY = b"one crate of shells"
+
+
+def place(name, service):
+    return Place(name, "qc-est", f"domain-of-{name}", service, "v1", 6, 100)
+
+
+class StopTests(unittest.TestCase):
+    def setUp(self):
+        self.store = self.enterContext(running_store())
+        self.fleet = self.enterContext(running_fleet(self.store))
+        self.fleet.start_all(
+            [place("catalogue-1", "catalogue"), place("orders-1", "orders")]
+        )
+        self.fleet.wait_ready()
+        head = self.fleet.accept(build_lists())
+        self.wait(lambda: self.fleet.has_in_force(head.version), "version in force")
+        self.wait(lambda: self.fleet.sees_serving(2), "endpoints known")
+        self.entry = self.fleet.nodes_by_name["orders-1"]
+        self.owner = self.fleet.nodes_by_name["catalogue-1"]
+
+    def wait(self, condition, what):
+        wait_until(condition, LIMIT_SECONDS, what)
+
+    def begin_call(self, executor):
+        """Return the future answer of a call at which the owner's server is at work."""
+        self.owner.backend_control("POST", "/control/behaviour", WORK_SECONDS)
+        caller = Caller(self.entry.callers, "shop")
+        self.addCleanup(caller.close)
+        call = executor.submit(caller.send, "GET", "/catalogue/1")
+        self.wait(self.owner.runs_by_request_id, "the call runs")
+        return call
+
+    def test_a_body_that_still_arrives_is_taken_whole(self):
+        host, _, port = self.entry.callers.rpartition(":")
+        head = (
+            "PUT /catalogue/1 HTTP/1.1\r\nHost: h\r\nX-Customer: shop\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), LIMIT_SECONDS) as sock:
+            sock.sendall(head.encode() + BODY[:5])
+            self.entry.process.terminate()
+            self.entry.process.wait_for("node-draining")
+            sock.sendall(BODY[5:])
+            answer = sock.recv(65536)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+        self.assertEqual(self.entry.process.wait(), 0)
+
+    def test_settings_read_again_right_before_leave_a_call_at_work_alone(self):
+        with ThreadPoolExecutor(1) as executor:
+            call = self.begin_call(executor)
+            os.kill(self.entry.process.pid, signal.SIGHUP)
+            self.entry.process.terminate()
+            self.assertEqual(call.result(LIMIT_SECONDS).status, 200)
+        self.assertEqual(self.entry.process.wait(), 0)
+
+    def test_an_owner_that_stops_leaves_a_call_at_work_alone(self):
+        with ThreadPoolExecutor(1) as executor:
+            call = self.begin_call(executor)
+            self.owner.process.terminate()
+            self.assertEqual(call.result(LIMIT_SECONDS).status, 200)
+        self.assertEqual(self.owner.process.wait(), 0)
+
+    def test_a_node_that_is_not_ready_yet_ends_though_the_store_is_silent(self):
+        self.store.process.pause()
+        node = self.fleet.start_node(place("late-1", "catalogue"), with_backend=False)
+        node.process.terminate()
+        self.assertEqual(node.process.wait(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
