Show two faults of planned stops by tests that fail

- HttpServer._close_idle closes a connection whose next request has reached the host but is not read yet: the caller sees a reset for a whole request.
"ConnectionResetError: [Errno 104] Connection reset by peer".
- A backend server sends its own calls to the callers' listener, which closes when a stop no longer takes new connections, while calls that need it are at work: the chain breaks.
"500 != 200", by "ConnectionRefusedError: [Errno 111]".

--- a/rattanworks/tests/platform/changes_at_work_tests.py
+++ b/rattanworks/tests/platform/changes_at_work_tests.py
@@ -6,6 +6,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from rattanworks.model.endpoint import EndpointState
 from rattanworks.settings.node import DrainSettings
 from rattanworks.tests.platform.builders import one_service_configuration
 from rattanworks.tests.platform.session_tests import WAIT_SECONDS, Session
@@ -112,6 +113,38 @@
         stopping.join(WAIT_SECONDS)
         self.assertFalse(stopping.is_alive())
 
+    def test_a_chain_finds_its_node_as_long_as_its_call_is_at_work(self):
+        session = self.session
+        node = session.daemon.node
+        node.settings = dataclasses.replace(
+            node.settings, drain=DrainSettings(timeout_seconds=20, accept_seconds=0)
+        )
+        statuses = []
+
+        def answer(environ, body):
+            self.started.set()
+            self.release.wait(WAIT_SECONDS)
+            # No other node serves it here: an answer will do, a refusal included.
+            statuses.append(self.status_of("/lookup/next"))
+            return 200, b"of the chain"
+
+        session.backend.answer = answer
+        call = self.begin("/lookup/chain")
+        stopping = threading.Thread(target=session.stop)
+        stopping.start()
+        # Its own endpoint has left: what follows in a stop has begun.
+        self.assertTrue(
+            session.wait(
+                lambda: (
+                    node.members.own.state == EndpointState.LEAVING
+                    and not node.servers_by_listener["callers"].is_listening
+                )
+            )
+        )
+        self.assert_is_answered(call)
+        self.assertEqual(len(statuses), 1)
+        stopping.join(WAIT_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -106,3 +106,22 @@
             return sock.recv(1) == b""
         except TimeoutError:
             return False
+
+    def test_a_request_that_has_come_is_answered_though_its_connection_seems_idle(self):
+        connection = self.connect()
+        connection.request("GET", "/first")
+        self.assertEqual(connection.getresponse().read(), b"whole")
+        self.server.drain()
+
+        closed = threading.Event()
+
+        def close_as_a_request_comes():
+            # On the thread that reads, so that the request waits unread.
+            connection.request("GET", "/second")
+            self.server._close_idle()
+            closed.set()
+
+        self.server._server.trigger.pull_trigger(close_as_a_request_comes)
+        self.assertTrue(closed.wait(LIMIT_SECONDS))
+        self.assertEqual(connection.getresponse().read(), b"whole")
+        self.assertEqual(self.paths, ["/first", "/second"])
