Leave a connection alone whose next request has come unread

Callers saw a reset connection for a whole request: a planned stop closed connections on which nothing ran, though the next request had reached the host and only waited to be read. Such a connection now stays until it is read.

http_server_tests, test_a_request_that_has_come_is_answered_though_its_connection_seems_idle: ConnectionResetError before.

--- a/rattanworks/tests/platform/changes_at_work_tests.py
+++ b/rattanworks/tests/platform/changes_at_work_tests.py
@@ -3,10 +3,12 @@
 import dataclasses
 import json
 import threading
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
 from rattanworks.model.endpoint import EndpointState
+from rattanworks.node.stopping import LINGER_SECONDS
 from rattanworks.settings.node import DrainSettings
 from rattanworks.tests.platform.builders import one_service_configuration
 from rattanworks.tests.platform.session_tests import WAIT_SECONDS, Session
@@ -130,14 +132,15 @@
 
         session.backend.answer = answer
         call = self.begin("/lookup/chain")
+        lingers_until = time.monotonic() + LINGER_SECONDS
         stopping = threading.Thread(target=session.stop)
         stopping.start()
-        # Its own endpoint has left: what follows in a stop has begun.
+        # Its own endpoint has left and idle connections are being closed.
         self.assertTrue(
             session.wait(
                 lambda: (
                     node.members.own.state == EndpointState.LEAVING
-                    and not node.servers_by_listener["callers"].is_listening
+                    and time.monotonic() > lingers_until
                 )
             )
         )
--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -1,4 +1,5 @@
 import http.client
+import math
 import threading
 import unittest
 import unittest.mock
@@ -118,7 +119,7 @@
         def close_as_a_request_comes():
             # On the thread that reads, so that the request waits unread.
             connection.request("GET", "/second")
-            self.server._close_idle()
+            self.server._close_idle(math.inf)
             closed.set()
 
         self.server._server.trigger.pull_trigger(close_as_a_request_comes)
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -8,6 +8,7 @@
 from waitress import wasyncore
 
 from rattanworks.model.route import DEFAULT_LIMITS
+from rattanworks.utils.http_connection import has_input
 from rattanworks.utils.http_parts import channel_class
 from rattanworks.utils.idle import wait_until_idle
 
@@ -147,7 +148,9 @@
 
     def _close_idle(self, opened_before):
         for channel in list(self._server.active_channels.values()):
-            if not _is_busy(channel) and channel.opened_at < opened_before:
+            is_old = channel.opened_at < opened_before
+            # What has come and waits to be read would end in a reset connection.
+            if is_old and not _is_busy(channel) and not has_input(channel.socket):
                 channel.handle_close()
 
     @property
