--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -11,7 +11,7 @@
 from rattanworks.membership.contacts import read_contacts
 from rattanworks.node.composition import build_node
 from rattanworks.node.lifecycle import Phase
-from rattanworks.node.stopping import plan_stop
+from rattanworks.node.stopping import EXIT_SECONDS, plan_stop
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.signals import wait_with_signals
@@ -21,9 +21,9 @@
 # it serves all the same after this time.
 JOIN_PATIENCE_SECONDS = 2.0
 LEAVE_TELL_SECONDS = 1.0
-# Neighbours are told that the node is gone in a part of what is left of a stop.
-GONE_TELL_SECONDS = 1.0
-GONE_TELL_PART = 0.25
+# Neighbours know already that the node leaves; one that does not answer must not
+# keep it from ending: half of the time for the exit.
+GONE_TELL_SECONDS = EXIT_SECONDS / 2
 JOIN_RETRY_BASE_SECONDS = 0.5
 JOIN_RETRY_CAP_SECONDS = 4.0
 CONTROL_GRACE_SECONDS = 0.5
@@ -209,7 +209,7 @@
     def _close(self, plan):
         node = self._node
         left = max(0.0, plan.ends_at - time.monotonic())
-        node.gossiper.stop(min(GONE_TELL_SECONDS, left * GONE_TELL_PART))
+        node.gossiper.stop(min(GONE_TELL_SECONDS, left / 2))
         node.spreader.stop()
         for server in node.servers_by_listener.values():
             server.stop()
