Bound what an answer over HTTP may have in bytes, and keep its deadline

The users: bytes that are no answer may also come without end, in a head or a body, until the caller closes. Each read now checks the deadline and the caller's leaving while bytes come, not only while none does. Lines (a head with all interim heads before it; chunk sizes, extensions and trailers) have 64 KiB, those of a body one byte more for each of data. A body has traffic.max_body_bytes, and above 256 KiB room in the budget of large bodies, twice for a copy. The store's answers have the same bounds and a budget of their own. A chunk of a negative size, which http.client read until the end of the stream, is refused.

One line without end (LineTooLong) and more than 100 header lines were cut by http.client before, at another place.

--- a/rattanworks/adapters/http_backend.py
+++ b/rattanworks/adapters/http_backend.py
@@ -24,11 +24,12 @@
     """Reaches the backend server beside this node.
 
     A call that is not idempotent goes out on a fresh connection: an idle one may
-    be closed by the server at the very moment it is used.
+    be closed by the server at the very moment it is used. ``bounds`` are the
+    AnswerBounds of its answers.
     """
 
-    def __init__(self, address, connections, clock):
-        self._pool = HttpPool(address, connections)
+    def __init__(self, address, connections, clock, bounds=None):
+        self._pool = HttpPool(address, connections, bounds)
         self._clock = clock
         self._cancels = ThreadPoolExecutor(1, "cancel")
 
--- a/rattanworks/adapters/store_over_http.py
+++ b/rattanworks/adapters/store_over_http.py
@@ -9,10 +9,15 @@
     StoreUnavailableError,
 )
 from rattanworks.ports.base import Store
+from rattanworks.utils.answer_room import DEFAULT_BODY_BYTES, AnswerBounds
 from rattanworks.utils.codec import DecodeError, decode_json
 from rattanworks.utils.http_pool import HttpPool
+from rattanworks.utils.memory_budget import MemoryBudget
 
 MAX_CONNECTIONS = 16
+# In bytes, for the large answers of all requests at once: that of one request of
+# the largest size. Bodies of calls have another budget and keep no record away.
+LARGE_ANSWERS_BYTES = 2 * DEFAULT_BODY_BYTES
 
 
 class StoreOverHttp(Store):
@@ -24,7 +29,8 @@
     headers = ()
 
     def __init__(self, address, timeout):
-        self._pool = HttpPool(address, MAX_CONNECTIONS)
+        bounds = AnswerBounds(budget=MemoryBudget(LARGE_ANSWERS_BYTES))
+        self._pool = HttpPool(address, MAX_CONNECTIONS, bounds)
         self._timeout = timeout
 
     @abc.abstractmethod
--- a/rattanworks/exceptions.py
+++ b/rattanworks/exceptions.py
@@ -132,6 +132,14 @@
     status = 504
 
 
+class AnswerTooLargeError(CallOutcomeUnknownError):
+    """The answer has more bytes than one answer may have; it was cut."""
+
+
+class NoRoomForAnswerError(CallOutcomeUnknownError):
+    """This node holds too many large bodies to take the answer; it was cut."""
+
+
 class CallAbandonedError(CallOutcomeUnknownError):
     """Nobody waits for the call's answer any longer."""
 
--- a/rattanworks/node/adapters.py
+++ b/rattanworks/node/adapters.py
@@ -27,7 +27,10 @@
     def new_backend(self, node, announcement):
         """Return the BackendServer that announced itself."""
         return HttpBackendServer(
-            announcement.address, announcement.connections, node.clock
+            announcement.address,
+            announcement.connections,
+            node.clock,
+            node.answer_bounds,
         )
 
     def new_callers_app(self, node):
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -68,6 +68,7 @@
 from rattanworks.routing.entry import Entry
 from rattanworks.routing.retries import RetryBudget
 from rattanworks.routing.table import RoutingTables
+from rattanworks.utils.answer_room import AnswerBounds
 from rattanworks.utils.frames import FrameServer
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.logging import log_event
@@ -111,6 +112,7 @@
     moves: MoveParticipant
     orders: MoveOrders
     declarer: ServiceDeclarer
+    answer_bounds: AnswerBounds
     servers_by_listener: dict
     fault_injector: FaultInjector | None
 
@@ -199,6 +201,7 @@
     moves = MoveParticipant(
         members, services, store, peers, clock, evidence, settings.moves
     )
+    answer_bounds = _answer_bounds(settings.traffic)
     peer_calls = FramePeerCalls(settings.host.name, clock, settings.host.failure_domain)
     if injector:
         peer_calls = FaultyPeerCalls(peer_calls, injector, clock)
@@ -241,6 +244,7 @@
         moves=moves,
         orders=MoveOrders(store, services, members, clock),
         declarer=ServiceDeclarer(store, services),
+        answer_bounds=answer_bounds,
         servers_by_listener={},
         fault_injector=injector,
     )
@@ -257,6 +261,13 @@
     return node
 
 
+def _answer_bounds(traffic):
+    # Bodies of requests take room from the same budget.
+    return AnswerBounds(
+        traffic.max_body_bytes, MemoryBudget(traffic.large_bodies_bytes)
+    )
+
+
 def _own_record(settings):
     return EndpointRecord(
         node=settings.host.name,
@@ -313,7 +324,7 @@
     if node.fault_injector:
         node_admin = FaultSwitchApp(node_admin, node.fault_injector)
     body = traffic.max_body_bytes
-    budget = MemoryBudget(traffic.large_bodies_bytes)
+    budget = node.answer_bounds.budget
 
     def serve(app, port, threads, max_body, name):
         return HttpServer(app, listen.host, port, threads, max_body, name, budget)
--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -27,10 +27,13 @@
 
 
 class PlatformBackendServer(BackendServer):
-    """Sends calls to one instance of the backend server beside the node."""
+    """Sends calls to one instance of the backend server beside the node.
 
-    def __init__(self, address, connections, instance, clock):
-        self._pool = HttpPool(address, connections)
+    ``bounds`` are the AnswerBounds of its answers.
+    """
+
+    def __init__(self, address, connections, instance, clock, bounds=None):
+        self._pool = HttpPool(address, connections, bounds)
         self._instance = instance
         self._clock = clock
 
--- a/rattanworks/platform/composition.py
+++ b/rattanworks/platform/composition.py
@@ -41,7 +41,11 @@
             announcement.slots + SPARE_CONNECTIONS, announcement.connections
         )
         return PlatformBackendServer(
-            announcement.address, connections, announcement.instance, node.clock
+            announcement.address,
+            connections,
+            announcement.instance,
+            node.clock,
+            node.answer_bounds,
         )
 
     def new_local_app(self, node):
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -83,8 +83,9 @@
     At most ``queue_length`` calls wait for a slot of the backend server, and no
     more than ``queue_per_slot`` for each of its slots.
 
-    ``large_bodies_bytes`` bounds the request bodies of more than 256 KiB that
-    the node holds at once.
+    ``max_body_bytes`` bounds the body of one request and of one answer,
+    ``large_bodies_bytes`` all those of more than 256 KiB that the node holds at
+    once; answers count twice there.
     """
 
     default_timeout_seconds: float
--- a/rattanworks/tests/platform/session_tests.py
+++ b/rattanworks/tests/platform/session_tests.py
@@ -23,10 +23,12 @@
     StandInPlatformBackend,
     StandInPlatformStore,
 )
+from rattanworks.tests.servers import EndlessServer, raw_answer
 from rattanworks.utils.codec import encode_json
 
 WAIT_SECONDS = 30.0
 CALLER_SECONDS = 20.0
+DRIP_PAUSE_SECONDS = 0.01
 SHOWN_HEADERS = (
     "Content-Length",
     "Retry-After",
@@ -68,10 +70,10 @@
 class Session:
     """One node among stand-ins, and the text of what its callers see."""
 
-    def __init__(self, test, grace="2s"):
+    def __init__(self, test, grace="2s", new_backend=StandInPlatformBackend):
         self.platform = StandInPlatformStore()
         test.addCleanup(self.platform.close)
-        self.backend = StandInPlatformBackend()
+        self.backend = new_backend()
         test.addCleanup(self.backend.close)
         folder = tempfile.TemporaryDirectory()
         test.addCleanup(folder.cleanup)
@@ -316,6 +318,58 @@
         return kept_seconds
 
 
+class EndlessAnswerTests(unittest.TestCase):
+    """Paths with the word endless get bytes without end, all others an answer."""
+
+    def bring_up(self, begin, piece, pause=0.0):
+        self.session = Session(
+            self, new_backend=lambda: EndlessServer(begin, piece, pause, signed)
+        )
+        bring_up(self, self.session)
+
+    def get(self, path):
+        headers = {"Host": "shop.example", "X-Request-Id": "r-1"}
+        return self.session.exchange("callers", "GET", path, headers.items())
+
+    def require_cut(self, expected_status):
+        """Ask for bytes without end and, while they come, for another answer."""
+        found = []
+        caller = threading.Thread(
+            target=lambda: found.append(self.get("/lookup/endless"))
+        )
+        caller.start()
+        self.assertTrue(self.session.backend.is_streaming.wait(WAIT_SECONDS))
+        self.assertEqual(self.get("/lookup/1")[0], 200)
+        caller.join(WAIT_SECONDS)
+        status, _, reason = found[0]
+        self.assertEqual(status, expected_status, reason)
+        self.assertTrue(self.session.backend.is_left())
+        self.assertEqual(self.get("/lookup/1")[0], 200)
+        return reason
+
+    def test_a_body_too_large_is_a_bad_gateway(self):
+        self.bring_up(b"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n", b"x")
+        self.assertIn(b"look at the server", self.require_cut(502))
+
+    def test_heads_without_end_are_a_bad_gateway(self):
+        self.bring_up(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.assertIn(b"look at the server", self.require_cut(502))
+
+    def test_bytes_that_drip_end_at_the_deadline(self):
+        self.bring_up(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n",
+            DRIP_PAUSE_SECONDS,
+        )
+        self.require_cut(504)
+
+
+def signed(request):
+    """Return the answer to the request r-1, with the signature of a success."""
+    framing = "Content-Length: 2\r\nX-Server-Signature: 3e1b.07\r\n"
+    return raw_answer(b"ok", request_id="r-1", framing=framing)
+
+
 class ReloadTests(unittest.TestCase):
     def test_a_changed_file_is_noticed_without_a_signal(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/rattanworks/tests/servers.py
+++ b/rattanworks/tests/servers.py
@@ -3,8 +3,12 @@
 import contextlib
 import socket
 import threading
+import time
 
 TIMEOUT_SECONDS = 10.0
+STREAMED_SECONDS = 5.0
+# More than an answer may have by default and sockets hold.
+STREAMED_BYTES = 96 * 1024 * 1024
 
 
 class ScriptedServer:
@@ -99,3 +103,62 @@
             while piece := sock.recv(65536):
                 answer += piece
     return answer
+
+
+class EndlessServer:
+    """Sends bytes without end to requests with the word endless, answers others.
+
+    After ``begin`` it sends ``piece`` again and again, ``pause`` seconds apart,
+    until the connection closes: ``is_left`` tells that the client closed it. So that
+    a test that fails ends too, the server gives up after STREAMED_SECONDS or
+    STREAMED_BYTES. ``answer`` makes a request's answer.
+    """
+
+    def __init__(self, begin, piece, pause=0.0, answer=lambda request: raw_answer()):
+        self._begin = begin
+        self._piece = piece
+        self._pause = pause
+        self._answer = answer
+        self._left = threading.Event()
+        self._is_closed = threading.Event()
+        self.is_streaming = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with sock, contextlib.suppress(OSError):
+            while request := read_message(sock):
+                if b"endless" in request:
+                    self._stream(sock)
+                    return
+                sock.sendall(self._answer(request))
+
+    def _stream(self, sock):
+        until = time.monotonic() + STREAMED_SECONDS
+        left = STREAMED_BYTES
+        try:
+            sock.sendall(self._begin)
+            while left > 0 and time.monotonic() < until:
+                sock.sendall(self._piece)
+                left -= len(self._piece)
+                self.is_streaming.set()
+                if self._is_closed.wait(self._pause):
+                    return
+        except OSError:
+            self._left.set()
+
+    def is_left(self):
+        """Wait until the client has closed and tell whether it did."""
+        return self._left.wait(TIMEOUT_SECONDS)
+
+    def close(self):
+        """Take no more connections and stream no more."""
+        self._is_closed.set()
+        self._listener.close()
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -6,7 +6,8 @@
 import time
 from dataclasses import dataclass
 
-from rattanworks.exceptions import CallAbandonedError
+from rattanworks.exceptions import AnswerTooLargeError, CallAbandonedError
+from rattanworks.utils.answer_room import AnswerRoom, collect
 from rattanworks.utils.sockets import PATIENT, apply_liveness
 
 ABANDON_CHECK_SECONDS = 0.1
@@ -14,6 +15,10 @@
 # Bodies up to this size leave in one blocking write.
 AT_ONCE_BYTES = 16 * 1024
 PIECE_BYTES = 64 * 1024
+# In bytes; for an answer's head with all interim ones before it: four times the
+# head that operators let callers send (maxHeaderBytes, 16 KiB). The lines between
+# and after the chunks of a body may take as much, and one byte for each of data.
+LINES_BYTES = 64 * 1024
 # Taken when a server does not announce how long it keeps idle connections.
 DEFAULT_IDLE_SECONDS = 300.0
 MIN_TIMEOUT_SECONDS = 0.001
@@ -63,12 +68,29 @@
     """Reads a connection through one buffer that outlives each answer.
 
     What a server sends after an answer is then seen, not lost with the answer's
-    own buffer. It has the methods of a file that http.client uses.
+    own buffer. It has the methods of a file that http.client uses. ``received``
+    counts the bytes that came since the answer was awaited.
     """
 
     def __init__(self, sock):
         self._sock = sock
         self._buffer = bytearray()
+        self._terms = None
+        self._lines_left = 0
+        self._next_check = 0.0
+        self.received = 0
+
+    def begin_answer(self, terms):
+        """Read an answer from now on, under some Terms."""
+        # A wait for input precedes each read.
+        self._sock.setblocking(False)
+        self._terms = terms
+        self._lines_left = LINES_BYTES
+        self.received = 0
+
+    def begin_body(self):
+        """Read the answer's body from now on."""
+        self._lines_left = LINES_BYTES
 
     @property
     def has_buffered(self):
@@ -80,25 +102,60 @@
         return self
 
     def readline(self, limit):
-        """Return a line of at most ``limit`` bytes, less when the stream ends."""
+        """Return a line of at most ``limit`` bytes, less when the stream ends.
+
+        Raise AnswerTooLargeError when the lines have too many bytes.
+        """
+        limit = min(limit, self._lines_left + 1)
         end = self._buffer.find(b"\n", 0, limit)
         while end < 0 and len(self._buffer) < limit and self._receive():
             end = self._buffer.find(b"\n", 0, limit)
-        return self._take(limit if end < 0 else end + 1)
-
-    def read(self, size=-1):
-        """Return ``size`` bytes, or all until the stream ends; less at its end."""
-        while (size < 0 or len(self._buffer) < size) and self._receive():
+        line = self._take(limit if end < 0 else end + 1)
+        self._lines_left -= len(line)
+        if self._lines_left < 0:
+            raise AnswerTooLargeError(
+                f"the answer has more than {LINES_BYTES} bytes of lines outside its "
+                "data; look at the server"
+            )
+        return line
+
+    def read(self, size):
+        """Return ``size`` bytes, less when the stream ends."""
+        if size < 0:
+            # What http.client makes of a chunk's size with a sign.
+            raise http.client.HTTPException(f"a chunk has the size {size}")
+        while len(self._buffer) < size and self._receive():
             pass
-        return self._take(len(self._buffer) if size < 0 else size)
+        content = self._take(size)
+        self._lines_left += len(content)
+        return content
 
     def _receive(self):
-        content = self._sock.recv(PIECE_BYTES)
+        """Wait for bytes and buffer them; tell whether there may be more."""
+        if self.received:
+            self._check_terms()
+        await_ready(self._sock, select.POLLIN, self._terms)
+        if not self.received:
+            self._next_check = time.monotonic() + ABANDON_CHECK_SECONDS
+        try:
+            content = self._sock.recv(PIECE_BYTES)
+        except BlockingIOError:
+            return True
+        self.received += len(content)
         self._buffer += content
         return bool(content)
 
+    def _check_terms(self):
+        """Keep the Terms while bytes come: await_ready does while none does."""
+        now = time.monotonic()
+        if now >= self._terms.deadline:
+            raise TimeoutError
+        if now >= self._next_check:
+            self._next_check = now + ABANDON_CHECK_SECONDS
+            require_wanted(self._terms)
+
     def _take(self, size):
-        content = bytes(self._buffer[:size])
+        content = bytes(memoryview(self._buffer)[:size])
         del self._buffer[:size]
         return content
 
@@ -127,10 +184,12 @@
         request.sock = self.sock
         return request
 
-    def next_response(self, method):
-        """Return the next response, its head read."""
+    def next_response(self, method, terms):
+        """Return the next response, its head read under some Terms."""
+        self.reader.begin_answer(terms)
         response = http.client.HTTPResponse(self.reader, method=method)
         response.begin()
+        self.reader.begin_body()
         return response
 
     def close(self):
@@ -202,17 +261,27 @@
         ready = poll.poll(min(left, ABANDON_CHECK_SECONDS) * MILLISECONDS)
         if ready:
             return ready[0][1]
-        if terms.is_abandoned is not None and terms.is_abandoned():
-            raise CallAbandonedError(
-                "nobody waits for the answer; ask again if it is still wanted"
-            )
+        require_wanted(terms)
         if left <= MIN_TIMEOUT_SECONDS:
             raise TimeoutError
 
 
-def read_whole(response, method, may_end_by_close):
-    """Return the HttpAnswer of a response, raise when it did not come whole."""
-    content = response.read()
+def require_wanted(terms):
+    """Raise CallAbandonedError when nobody waits for the answer any longer."""
+    if terms.is_abandoned is not None and terms.is_abandoned():
+        raise CallAbandonedError(
+            "nobody waits for the answer; ask again if it is still wanted"
+        )
+
+
+def read_whole(response, method, may_end_by_close, bounds):
+    """Return the HttpAnswer of a response, raise when it did not come whole.
+
+    Raise as AnswerRoom.require does when it has more bytes than AnswerBounds say.
+    """
+    room = AnswerRoom(bounds)
+    room.require_allowed(response.length or 0)
+    content = collect(_pieces_of(response), room)
     is_bodiless = method == "HEAD" or response.status in BODILESS_STATUSES
     is_framed = response.chunked or response.getheader("Content-Length") is not None
     if not is_framed and not is_bodiless and not may_end_by_close:
@@ -220,6 +289,13 @@
     return HttpAnswer(response.status, tuple(response.getheaders()), content)
 
 
+def _pieces_of(response):
+    while piece := response.read(PIECE_BYTES):
+        yield piece
+    if response.length:
+        raise http.client.IncompleteRead(b"", response.length)
+
+
 def has_input(sock):
     """Tell whether a connection can be read without waiting, an end included."""
     # An idle connection that is readable was closed by the server or carries a
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -1,7 +1,6 @@
 """A bounded pool of persistent HTTP connections to one address."""
 
 import http.client
-import select
 import threading
 import time
 
@@ -10,10 +9,10 @@
     CallOutcomeUnknownError,
     CallTimedOutError,
 )
+from rattanworks.utils.answer_room import AnswerBounds
 from rattanworks.utils.http_connection import (
     Connection,
     Terms,
-    await_ready,
     has_input,
     idle_seconds,
     read_whole,
@@ -35,10 +34,14 @@
 
 
 class HttpPool:
-    """Keeps idle connections to one server and opens at most ``limit``."""
+    """Keeps idle connections to one server and opens at most ``limit``.
 
-    def __init__(self, address, limit):
+    ``bounds`` are the AnswerBounds of its answers.
+    """
+
+    def __init__(self, address, limit, bounds=None):
         self.address = address
+        self._bounds = bounds or AnswerBounds()
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
@@ -131,15 +134,12 @@
     def _read_own(self, connection, method, terms):
         """Return the request's own HttpAnswer and whether the connection stays."""
         for _ in range(MAX_BELATED_ANSWERS + 1):
-            if not connection.reader.has_buffered and terms.is_abandoned is not None:
-                await_ready(connection.sock, select.POLLIN, terms)
-            connection.sock.settimeout(seconds_left(terms.deadline))
-            response = connection.next_response(method)
+            response = connection.next_response(method, terms)
             if response.status < FIRST_FINAL_STATUS:
                 raise http.client.HTTPException(
                     f"status {response.status} is not final"
                 )
-            answer = read_whole(response, method, terms.may_end_by_close)
+            answer = read_whole(response, method, terms.may_end_by_close, self._bounds)
             if terms.is_own is None or terms.is_own(answer):
                 return answer, not response.will_close
             if response.will_close or not terms.skips_others:
