Bound what an owner's answer may have, and keep its deadline while it comes

An entry waits for the caller's deadline and leaving before each read of an answer: size, content, each piece. Before, each piece might block for STALL_SECONDS, and drips within it for as long as they came. The announced length has the bounds of answers over HTTP and takes room as its pieces come. The owner's time at the start of a connection is waited for in the same way. A short answer that is there counts however late, as before. No room at the entry is no fault of the owner.

Without the clearing of before_read, an idle connection kept its last call (seen failing).

--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -19,8 +19,9 @@
     CallOutcomeUnknownError,
     CallTimedOutError,
 )
-from rattanworks.model.call import refusal
+from rattanworks.model.call import never, refusal
 from rattanworks.ports.base import PeerCalls
+from rattanworks.utils.answer_room import AnswerBounds, AnswerRoom, collect
 from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.frames import connect_frames
 
@@ -30,19 +31,69 @@
 ANSWER_GRACE_SECONDS = 0.05
 ABANDON_CHECK_SECONDS = 0.1
 MAX_IDLE_PER_PEER = 32
+# Size and content of a short answer: taken when they are there, however late.
+READS_OF_SHORT_ANSWER = 2
+
+
+class OverdueError(TimeoutError):
+    """The other side did not send a whole message in time."""
+
+
+class Patience:
+    """Waits for a node's bytes up to a time, as long as somebody wants them.
+
+    It is called before each read, and holds also while bytes come. ``until`` is in
+    seconds of ``clock``. Raise OverdueError and CallAbandonedError.
+    """
+
+    def __init__(self, connection, clock, until, is_abandoned=never):
+        self._connection = connection
+        self._clock = clock
+        self._until = until
+        self._is_abandoned = is_abandoned
+        self._next_check = 0.0
+        self._reads = 0
+
+    def __call__(self):
+        """Return when there is input."""
+        while not self._connection.wait(self._seconds_to_check()):
+            self._require_time(self._clock.monotonic())
+            self._require_wanted()
+        self._reads += 1
+        if self._reads > READS_OF_SHORT_ANSWER:
+            self._check_busy()
+
+    def _check_busy(self):
+        now = self._clock.monotonic()
+        self._require_time(now)
+        if now >= self._next_check:
+            self._next_check = now + ABANDON_CHECK_SECONDS
+            self._require_wanted()
+
+    def _seconds_to_check(self):
+        return min(ABANDON_CHECK_SECONDS, self._until - self._clock.monotonic())
+
+    def _require_time(self, now):
+        if now >= self._until:
+            raise OverdueError("the node accepts but does not answer")
+
+    def _require_wanted(self):
+        if self._is_abandoned():
+            raise CallAbandonedError("the caller has gone; nothing to do")
 
 
 class FramePeerCalls(PeerCalls):
     """Each call has a connection to itself while it runs.
 
     ``failure_domain`` is the own one, where bodies travel at little cost; empty
-    when it is not known.
+    when it is not known. ``bounds`` are the AnswerBounds of owners' answers.
     """
 
-    def __init__(self, sender, clock, failure_domain=""):
+    def __init__(self, sender, clock, failure_domain="", bounds=None):
         self._sender = sender
         self._failure_domain = failure_domain
         self._clock = clock
+        self._bounds = bounds or AnswerBounds()
         self._idle_by_address = {}
         self._lock = threading.Lock()
 
@@ -56,6 +107,11 @@
         try:
             answer = self._exchange(connection, gap, record, call)
             is_clean = True
+        except OverdueError as error:
+            raise CallTimedOutError(
+                "the owner did not answer before the deadline; "
+                "repeat the call only if it is idempotent"
+            ) from error
         except (EOFError, OSError, DecodeError) as error:
             raise CallOutcomeUnknownError(
                 f"the exchange with {record.node} broke: {error!r}; "
@@ -78,8 +134,6 @@
             for piece in pieces_of(call.body):
                 connection.send(piece)
             message, body = self._receive(connection, gap, call)
-        if message.body_size:
-            body = b"".join(receive_body(connection, message.body_size))
         return answer_of(message, body)
 
     def _inline_bytes(self, record):
@@ -93,15 +147,8 @@
 
     def _receive(self, connection, gap, call):
         until = call.deadline + ANSWER_GRACE_SECONDS
-        while not connection.wait(self._next_check(until)):
-            if self._clock.monotonic() >= until:
-                raise CallTimedOutError(
-                    "the owner did not answer before the deadline; "
-                    "repeat the call only if it is idempotent"
-                )
-            if call.is_abandoned():
-                raise CallAbandonedError("the caller has gone; nothing to do")
-        head, body = connection.parts_of(connection.receive())
+        patience = Patience(connection, self._clock, until, call.is_abandoned)
+        head, body = connection.parts_of(connection.receive(patience))
         message = decode_answer(head)
         if message.request_id != call.request_id:
             raise CallOutcomeUnknownError(
@@ -109,10 +156,14 @@
                 "repeat the call only if it is idempotent"
             )
         gap.note(message.owner_time, self._clock.monotonic())
+        if message.body_size:
+            body = self._receive_body(connection, message.body_size, patience)
         return message, body
 
-    def _next_check(self, until):
-        return min(ABANDON_CHECK_SECONDS, until - self._clock.monotonic())
+    def _receive_body(self, connection, size, patience):
+        room = AnswerRoom(self._bounds)
+        room.require_allowed(size)
+        return collect(receive_body(connection, size, patience), room)
 
     def _take(self, address, left):
         with self._lock:
@@ -130,9 +181,9 @@
         try:
             connection = connect_frames(address, timeout)
             connection.send(CLOCK_REQUEST)
-            if not connection.wait(timeout):
-                raise TimeoutError("the node accepts but does not answer")
-            owner_time = decode_clock(connection.receive())
+            until = self._clock.monotonic() + timeout
+            patience = Patience(connection, self._clock, until)
+            owner_time = decode_clock(connection.receive(patience))
             return connection, ClockGap(owner_time, self._clock.monotonic())
         except (EOFError, OSError, DecodeError) as error:
             if connection is not None:
--- a/rattanworks/adapters/peer_messages.py
+++ b/rattanworks/adapters/peer_messages.py
@@ -184,11 +184,14 @@
         yield view[start : start + PIECE_BYTES]
 
 
-def receive_body(connection, size):
-    """Yield the pieces of a body of ``size`` bytes; raise OSError when it breaks."""
+def receive_body(connection, size, wait=None):
+    """Yield the pieces of a body of ``size`` bytes; raise OSError when it breaks.
+
+    ``wait`` is that of FrameConnection.receive.
+    """
     left = size
     while left > 0:
-        piece = connection.receive()
+        piece = connection.receive(wait)
         if not piece or len(piece) > left:
             raise OSError("the body does not have the announced length")
         left -= len(piece)
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -202,7 +202,9 @@
         members, services, store, peers, clock, evidence, settings.moves
     )
     answer_bounds = _answer_bounds(settings.traffic)
-    peer_calls = FramePeerCalls(settings.host.name, clock, settings.host.failure_domain)
+    peer_calls = FramePeerCalls(
+        settings.host.name, clock, settings.host.failure_domain, answer_bounds
+    )
     if injector:
         peer_calls = FaultyPeerCalls(peer_calls, injector, clock)
     retry_budget = RetryBudget(clock, settings.retries, lambda: len(members.by_node))
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -10,6 +10,7 @@
     CallAbandonedError,
     CallNotSentError,
     CallOutcomeUnknownError,
+    NoRoomForAnswerError,
 )
 from rattanworks.model.call import (
     Call,
@@ -287,7 +288,8 @@
             self._note_unreachable(record)
             answer = refusal(503, str(error), self._return_seconds(call.deadline))
             return Attempt(answer, is_unreached=True)
-        except CallAbandonedError as error:
+        except (CallAbandonedError, NoRoomForAnswerError) as error:
+            # The endpoint has no part in it.
             has_failed = False
             return Attempt(unknown_outcome(error.status, str(error)))
         except CallOutcomeUnknownError as error:
--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -1,30 +1,43 @@
+import os
+import struct
 import threading
 import time
 import unittest
 import unittest.mock
+import weakref
 
 from rattanworks.adapters.peer_calls import FramePeerCalls
 from rattanworks.adapters.peer_clock import ClockGap, encode_clock
 from rattanworks.adapters.peer_listener import PeerListener
-from rattanworks.adapters.peer_messages import encode_answer
+from rattanworks.adapters.peer_messages import decode_call, encode_answer
 from rattanworks.adapters.system_clock import SystemClock
 from rattanworks.exceptions import (
+    AnswerTooLargeError,
     CallAbandonedError,
     CallNotSentError,
     CallOutcomeUnknownError,
     CallTimedOutError,
+    NoRoomForAnswerError,
 )
 from rattanworks.model.call import Answer, StreamedBody, refusal
 from rattanworks.tests.builders import build_call, build_record
 from rattanworks.utils import frames
+from rattanworks.utils.answer_room import AnswerBounds
 from rattanworks.utils.frames import FrameServer
+from rattanworks.utils.memory_budget import MemoryBudget
 from rattanworks.utils.sockets import PROMPT
 
 LARGE_BODY = bytes(range(256)) * 4096
 TIMEOUT_SECONDS = 10.0
+GENEROUS_SECONDS = 60.0
+DRIP_SECONDS = 0.3
+DRIP_PAUSE_SECONDS = 0.005
+# So that a test that fails ends too.
+STREAMED_SECONDS = 5.0
+FRAME_SIZE = struct.Struct("!i")
 
 
-class PeersTests(unittest.TestCase):
+class PeersCase(unittest.TestCase):
     def setUp(self):
         self.clock = SystemClock()
         self.calls = FramePeerCalls("entry", self.clock)
@@ -61,6 +74,8 @@
             self.record, build_call(deadline=deadline, **changes)
         )
 
+
+class PeersTests(PeersCase):
     def test_a_call_arrives_whole_and_its_answer_comes_back_whole(self):
         seen = []
 
@@ -145,6 +160,16 @@
         with self.assertRaises(CallOutcomeUnknownError):
             self.dispatch()
 
+    def test_an_idle_connection_keeps_nothing_of_its_last_call(self):
+        def is_abandoned():
+            return False
+
+        self.serve(lambda message, call: Answer(200))
+        kept = weakref.ref(is_abandoned)
+        self.assertEqual(self.dispatch(is_abandoned=is_abandoned).status, 200)
+        del is_abandoned
+        self.assertIsNone(kept())
+
     def test_a_silent_owner_is_unknown_at_the_deadline(self):
         release = threading.Event()
         self.addCleanup(release.set)
@@ -261,3 +286,145 @@
             # And the same on a connection that was idle for as long.
             held.wait(longest + 0.5)
             self.assertEqual(self.dispatch(method="POST").body, b"False")
+
+
+class EndlessPeerTests(PeersCase):
+    """Owners that send bytes without end, or too many, in answer to a call."""
+
+    def setUp(self):
+        super().setUp()
+        self.is_streaming, self.is_left = threading.Event(), threading.Event()
+
+    def stream(self, begin, step, pause=DRIP_PAUSE_SECONDS):
+        """Answer each first call by ``begin`` and then ``step`` without end."""
+
+        def serve(connection):
+            message = decode_call(connection.parts_of(connection.receive())[0])
+            if message.method != "GET":
+                answer = encode_answer(message.request_id, Answer(200), 0.0)
+                connection.send_parts(*answer)
+                return True
+            begin(connection, message)
+            self.step_until_left(connection, step, pause)
+            return False
+
+        self.listen_after_clock(serve)
+
+    def step_until_left(self, connection, step, pause):
+        until = time.monotonic() + STREAMED_SECONDS
+        try:
+            while time.monotonic() < until:
+                step(connection)
+                self.is_streaming.set()
+                # While the entry waits it sends nothing: input is its leaving.
+                if connection.wait(pause):
+                    connection.receive()
+        except (EOFError, OSError):
+            self.is_left.set()
+
+    def require_cut(self, kind, seconds=GENEROUS_SECONDS, **changes):
+        with self.assertRaises(kind) as caught:
+            self.dispatch(seconds, method="GET", **changes)
+        self.assertIs(type(caught.exception), kind, caught.exception)
+        self.assertTrue(self.is_left.wait(TIMEOUT_SECONDS))
+        self.assertEqual(self.dispatch(method="PUT").status, 200)
+
+    def drips(self):
+        """Yield what each kind of drip begins with and repeats."""
+        yield "pieces of a body", announce(LARGE_BODY), lambda c: c.send(b"x")
+        yield "bytes of a piece", announce(LARGE_BODY, 200_000), drip
+        yield "size of a piece", announce(LARGE_BODY), no_more
+        yield "bytes of the answer", lambda c, m: open_frame(c, 200_000), drip
+        yield "size of the answer", lambda c, m: os.write(c.descriptor, b"\0"), no_more
+
+    def test_the_deadline_ends_answers_that_drip(self):
+        for name, begin, step in self.drips():
+            with self.subTest(name):
+                self.is_left.clear()
+                self.stream(begin, step)
+                self.require_cut(CallTimedOutError, DRIP_SECONDS)
+
+    def test_the_deadline_ends_answers_that_come_fast(self):
+        self.stream(announce(LARGE_BODY * 60), lambda c: c.send(b"x"), 0.0)
+        self.require_cut(CallTimedOutError, DRIP_SECONDS)
+
+    def test_a_caller_who_leaves_ends_answers_that_drip(self):
+        for name, begin, step in self.drips():
+            with self.subTest(name):
+                self.is_left.clear()
+                self.is_streaming.clear()
+                self.stream(begin, step)
+                self.require_cut(
+                    CallAbandonedError, is_abandoned=self.is_streaming.is_set
+                )
+
+    def test_a_caller_who_leaves_ends_answers_that_come_fast(self):
+        self.stream(announce(LARGE_BODY * 60), lambda c: c.send(b"x"), 0.0)
+        self.require_cut(CallAbandonedError, is_abandoned=self.is_streaming.is_set)
+
+    def test_an_announced_body_above_the_bound_is_refused_before_it_comes(self):
+        self.stream(announce(range(10**12)), no_more)
+        self.require_cut(AnswerTooLargeError)
+
+    def test_a_frame_above_the_bound_is_refused_before_it_comes(self):
+        self.stream(lambda c, m: open_frame(c, 10**9), no_more)
+        self.require_cut(CallOutcomeUnknownError)
+
+    def test_an_owner_whose_clock_drips_is_not_sent_the_call(self):
+        def drip_clock(connection):
+            connection.receive()
+            open_frame(connection, 200_000)
+            self.step_until_left(connection, drip, DRIP_PAUSE_SECONDS)
+            return False
+
+        self.listen(drip_clock)
+        with self.assertRaises(CallNotSentError):
+            self.dispatch(GENEROUS_SECONDS)
+        self.assertTrue(self.is_left.wait(TIMEOUT_SECONDS))
+
+
+class AnswerRoomTests(PeersCase):
+    """Large answers of owners take room from the entry's budget."""
+
+    def test_a_large_answer_holds_room_until_it_goes(self):
+        budget = MemoryBudget(2 * len(LARGE_BODY))
+        self.calls = FramePeerCalls(
+            "entry", self.clock, bounds=AnswerBounds(len(LARGE_BODY), budget)
+        )
+        self.addCleanup(self.calls.close)
+        self.serve(lambda message, call: Answer(200, body=LARGE_BODY))
+        first = self.dispatch()
+        self.assertEqual(first.body, LARGE_BODY)
+        self.assertEqual(budget.reserved, 2 * len(LARGE_BODY))
+        with self.assertRaises(NoRoomForAnswerError):
+            self.dispatch()
+        del first
+        self.assertEqual(budget.reserved, 0)
+        self.assertEqual(self.dispatch().body, LARGE_BODY)
+
+
+def announce(body, piece_bytes=0):
+    """Return what sends an answer's head, and the size of its first piece if any."""
+
+    def begin(connection, message):
+        answer = Answer(200, body=body)
+        head, _ = encode_answer(message.request_id, answer, time.monotonic())
+        connection.send_parts(head, b"")
+        if piece_bytes:
+            open_frame(connection, piece_bytes)
+
+    return begin
+
+
+def open_frame(connection, size):
+    """Send the size of a frame and no byte of it."""
+    os.write(connection.descriptor, FRAME_SIZE.pack(size))
+
+
+def drip(connection):
+    """Send a byte."""
+    os.write(connection.descriptor, b"x")
+
+
+def no_more(connection):
+    """Send nothing."""
--- a/rattanworks/tests/routing/honesty_tests.py
+++ b/rattanworks/tests/routing/honesty_tests.py
@@ -4,7 +4,12 @@
 import unittest
 
 from rattanworks.distribution.configuration import Snapshot
-from rattanworks.exceptions import CallNotSentError, CallOutcomeUnknownError
+from rattanworks.exceptions import (
+    AnswerTooLargeError,
+    CallNotSentError,
+    CallOutcomeUnknownError,
+    NoRoomForAnswerError,
+)
 from rattanworks.model.call import Answer, Outcome, refusal
 from rattanworks.model.version import Head
 from rattanworks.routing.choice import EndpointChooser
@@ -64,6 +69,19 @@
         lost = CallOutcomeUnknownError("cut")
         self.assertEqual(self.outcome("POST", lost), (Outcome.UNKNOWN, 1))
 
+    def test_only_an_answer_without_end_counts_against_its_endpoint(self):
+        for error, expected in (
+            (AnswerTooLargeError("cut"), 1),
+            (NoRoomForAnswerError("cut"), 0),
+        ):
+            with self.subTest(error):
+                told = []
+                entry = entry_with(ScriptedPeerCalls(error))
+                entry.observer = types.SimpleNamespace(unreachable=told.append)
+                answer = entry.handle(request("POST"))
+                self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+                self.assertEqual(len(told), expected)
+
     def test_a_later_refusal_does_not_hide_that_an_earlier_try_may_have_run(self):
         lost = CallOutcomeUnknownError("cut")
         busy = refusal(503, "busy")
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -1,5 +1,6 @@
 """Whole messages over TCP, framed by the standard library's Connection."""
 
+import os
 import select
 import socket
 import struct
@@ -17,6 +18,19 @@
 ARMED = select.EPOLLIN | select.EPOLLONESHOT
 
 
+class PatientConnection(Connection):
+    """A Connection that calls ``before_read``, when there is one, before each read."""
+
+    before_read = None
+
+    def _recv(self, size, read=os.read):
+        return super()._recv(size, self._read_patiently if self.before_read else read)
+
+    def _read_patiently(self, handle, size):
+        self.before_read()
+        return os.read(handle, size)
+
+
 class FrameConnection:
     """One TCP connection; a message that stalls half-way breaks it."""
 
@@ -27,7 +41,7 @@
         stall = struct.pack("ll", STALL_SECONDS, 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, stall)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, stall)
-        self._connection = Connection(sock.detach())
+        self._connection = PatientConnection(sock.detach())
         self._sent_heads = SharedHeads()
         self._received_heads = SharedHeads()
         self.descriptor = self._connection.fileno()
@@ -46,9 +60,18 @@
         """Return head and body of a message sent in parts; raise DecodeError."""
         return self._received_heads.unpack(frame)
 
-    def receive(self):
-        """Return the next message; raise EOFError or OSError when there is none."""
-        return self._connection.recv_bytes(MAX_FRAME_BYTES)
+    def receive(self, wait=None):
+        """Return the next message; raise EOFError or OSError when there is none.
+
+        ``wait()`` is called before each read: it returns when there is input, or
+        raises what ends the wait.
+        """
+        self._connection.before_read = wait
+        try:
+            return self._connection.recv_bytes(MAX_FRAME_BYTES)
+        finally:
+            # An idle connection keeps nothing of its last message.
+            self._connection.before_read = None
 
     def wait(self, seconds):
         """Wait for input and tell whether there is any, an end included."""
