Let a backend server take its time to read a long body

Uploads failed while the backend server was at work on them, when it did not read from its connection for a while: 504 after 2 s of a longer deadline, and 502 after 0.5 s when the call came over another node. TCP_USER_TIMEOUT, set for hosts that fall silent, also ends a connection whose other side has no room. From a long body on until its answer, the bound is now the call's own time; the entry sends a body piece by piece as there is room, and keeps deadline and the caller's leaving, which waited in the kernel before. The price: a host that falls silent in the middle of a long body is noticed at the deadline; such a call could not have been sent again.

--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -40,14 +40,15 @@
 
 
 class Patience:
-    """Waits for a node's bytes up to a time, as long as somebody wants them.
+    """Waits for a node up to a time, as long as somebody wants its answer.
 
-    It is called before each read, and holds also while bytes come. ``until`` is in
-    seconds of ``clock``. Raise OverdueError and CallAbandonedError.
+    It is called before each read or write, and holds also while bytes move.
+    ``wait(seconds)`` tells whether there is input, or room; ``until`` is in seconds
+    of ``clock``. Raise OverdueError and CallAbandonedError.
     """
 
-    def __init__(self, connection, clock, until, is_abandoned=never):
-        self._connection = connection
+    def __init__(self, wait, clock, until, is_abandoned=never):
+        self._wait = wait
         self._clock = clock
         self._until = until
         self._is_abandoned = is_abandoned
@@ -55,8 +56,8 @@
         self._reads = 0
 
     def __call__(self):
-        """Return when there is input."""
-        while not self._connection.wait(self._seconds_to_check()):
+        """Return when there is input, or room."""
+        while not self._wait(self._seconds_to_check()):
             self._require_time(self._clock.monotonic())
             self._require_wanted()
         self._reads += 1
@@ -131,11 +132,26 @@
         connection.send_parts(*parts)
         message, body = self._receive(connection, gap, call)
         if message.status == PROCEED_STATUS:
-            for piece in pieces_of(call.body):
-                connection.send(piece)
-            message, body = self._receive(connection, gap, call)
+            message, body = self._send_body(connection, gap, call)
         return answer_of(message, body)
 
+    def _send_body(self, connection, gap, call):
+        """Send a long body as fast as its backend server reads; return the answer.
+
+        Until then the owner's host may leave bytes unacknowledged: a host that
+        falls silent is noticed at the deadline.
+        """
+        until = call.deadline + ANSWER_GRACE_SECONDS
+        connection.allow_unread(until - self._clock.monotonic())
+        patience = Patience(
+            connection.wait_for_room, self._clock, until, call.is_abandoned
+        )
+        for piece in pieces_of(call.body):
+            connection.send(piece, patience)
+        answered = self._receive(connection, gap, call)
+        connection.allow_unread(0.0)
+        return answered
+
     def _inline_bytes(self, record):
         """Return the size up to which a body goes with its call.
 
@@ -147,7 +163,7 @@
 
     def _receive(self, connection, gap, call):
         until = call.deadline + ANSWER_GRACE_SECONDS
-        patience = Patience(connection, self._clock, until, call.is_abandoned)
+        patience = Patience(connection.wait, self._clock, until, call.is_abandoned)
         head, body = connection.parts_of(connection.receive(patience))
         message = decode_answer(head)
         if message.request_id != call.request_id:
@@ -182,7 +198,7 @@
             connection = connect_frames(address, timeout)
             connection.send(CLOCK_REQUEST)
             until = self._clock.monotonic() + timeout
-            patience = Patience(connection, self._clock, until)
+            patience = Patience(connection.wait, self._clock, until)
             owner_time = decode_clock(connection.receive(patience))
             return connection, ClockGap(owner_time, self._clock.monotonic())
         except (EOFError, OSError, DecodeError) as error:
--- /dev/null
+++ b/rattanworks/tests/adapters/slow_readers_tests.py
@@ -0,0 +1,125 @@
+"""Long bodies for a backend server that reads them slowly."""
+
+import socket
+import threading
+import time
+import unittest
+
+from rattanworks.adapters.peer_calls import FramePeerCalls
+from rattanworks.adapters.peer_listener import PeerListener
+from rattanworks.adapters.system_clock import SystemClock
+from rattanworks.exceptions import CallAbandonedError, CallTimedOutError
+from rattanworks.model.call import Answer
+from rattanworks.platform.backend import PlatformBackendServer
+from rattanworks.tests.builders import build_call, build_record
+from rattanworks.tests.servers import raw_answer
+from rattanworks.utils.frames import FrameServer
+from rattanworks.utils.sockets import PATIENT, PROMPT
+
+# More than the kernel keeps for a reader that does not read.
+LONG_BODY = bytes(16 * 1024 * 1024)
+LIMIT_SECONDS = 30.0
+
+
+class HopTests(unittest.TestCase):
+    """The owner hands a body on no faster than its backend server takes it."""
+
+    def setUp(self):
+        self.clock = SystemClock()
+        self.calls = FramePeerCalls("entry", self.clock)
+        self.addCleanup(self.calls.close)
+        self.begun, self.release = threading.Event(), threading.Event()
+        self.addCleanup(self.release.set)
+        server = FrameServer(
+            PeerListener(self.run_slowly, self.clock), "127.0.0.1", 0, 8, "peers"
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        self.record = build_record("owner", peers_address=server.address)
+        self.given_up = threading.Event()
+
+    def run_slowly(self, message, call):
+        if not call.body:
+            return Answer(200)
+        pieces = iter(call.body)
+        size = len(next(pieces))
+        self.begun.set()
+        self.release.wait(LIMIT_SECONDS)
+        try:
+            size += sum(map(len, pieces))
+        except (EOFError, OSError):
+            self.given_up.set()
+            raise
+        return Answer(200, body=str(size).encode())
+
+    def dispatch(self, seconds=LIMIT_SECONDS, body=LONG_BODY, **changes):
+        deadline = self.clock.monotonic() + seconds
+        call = build_call(method="POST", body=body, deadline=deadline, **changes)
+        return self.calls.dispatch(self.record, call)
+
+    def release_after(self, seconds):
+        timer = threading.Timer(seconds, self.release.set)
+        timer.start()
+        self.addCleanup(timer.cancel)
+
+    def test_a_body_that_stands_still_for_long_does_not_break_the_call(self):
+        self.release_after(4 * PROMPT.acknowledged_seconds)
+        self.assertEqual(self.dispatch().body, str(len(LONG_BODY)).encode())
+
+    def test_the_end_of_a_body_that_stands_still_does_not_break_the_call(self):
+        # All of it is with the kernel: the entry waits for the answer already.
+        for size in (3, 4):
+            with self.subTest(mebibytes=size):
+                self.release.clear()
+                self.release_after(4 * PROMPT.acknowledged_seconds)
+                body = bytes(size * 1024 * 1024)
+                answer = self.dispatch(body=body)
+                self.assertEqual(answer.body, str(len(body)).encode())
+
+    def test_the_connection_serves_the_next_call(self):
+        self.release.set()
+        self.assertEqual(self.dispatch().status, 200)
+        self.assertEqual(self.dispatch(body=b"").status, 200)
+        self.assertEqual(self.dispatch().status, 200)
+
+    def test_the_deadline_ends_a_body_that_stands_still(self):
+        with self.assertRaises(CallTimedOutError):
+            self.dispatch(seconds=2 * PROMPT.acknowledged_seconds)
+        self.release.set()
+        self.assertTrue(self.given_up.wait(LIMIT_SECONDS))
+
+    def test_a_caller_who_leaves_ends_a_body_that_stands_still(self):
+        with self.assertRaises(CallAbandonedError):
+            self.dispatch(is_abandoned=self.begun.is_set)
+        self.release.set()
+        self.assertTrue(self.given_up.wait(LIMIT_SECONDS))
+
+
+class BackendServerTests(unittest.TestCase):
+    def test_a_server_that_pauses_before_it_reads_a_body_is_not_cut(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        threading.Thread(target=self.serve, args=(listener,), daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        backend = PlatformBackendServer(address, 2, "i-1", SystemClock())
+        self.addCleanup(backend.close)
+        deadline = time.monotonic() + LIMIT_SECONDS
+        call = build_call(
+            request_id="r-slow", method="POST", body=LONG_BODY, deadline=deadline
+        )
+        self.assertEqual(backend.run(call).status, 200)
+
+    def serve(self, listener):
+        sock, _ = listener.accept()
+        with sock:
+            got = sock.recv(1024)
+            time.sleep(2 * PATIENT.acknowledged_seconds)
+            left = len(LONG_BODY) - len(got.partition(b"\r\n\r\n")[2])
+            while left and (piece := sock.recv(65536)):
+                left -= len(piece)
+            signed = "X-Server-Signature: 1\r\nContent-Length: 2\r\n"
+            sock.sendall(raw_answer(request_id="r-slow", framing=signed))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -1,5 +1,6 @@
 """Whole messages over TCP, framed by the standard library's Connection."""
 
+import contextlib
 import os
 import select
 import socket
@@ -9,7 +10,7 @@
 
 from rattanworks.utils.compression import SharedHeads
 from rattanworks.utils.logging import log_event
-from rattanworks.utils.sockets import PROMPT, apply_liveness
+from rattanworks.utils.sockets import PROMPT, apply_liveness, bound_acknowledgement
 
 STALL_SECONDS = 10
 BACKLOG = 1024
@@ -19,9 +20,13 @@
 
 
 class PatientConnection(Connection):
-    """A Connection that calls ``before_read``, when there is one, before each read."""
+    """A Connection that calls a hook, when there is one, before each read or write.
+
+    With ``before_write`` a write takes what there is room for and never blocks.
+    """
 
     before_read = None
+    before_write = None
 
     def _recv(self, size, read=os.read):
         return super()._recv(size, self._read_patiently if self.before_read else read)
@@ -30,6 +35,27 @@
         self.before_read()
         return os.read(handle, size)
 
+    def _send(self, buf, write=os.write):
+        super()._send(buf, self._write_patiently if self.before_write else write)
+
+    def _write_patiently(self, handle, content):
+        self.before_write()
+        with _socket_of(handle) as sock:
+            try:
+                return sock.send(content, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                return 0
+
+
+@contextlib.contextmanager
+def _socket_of(descriptor):
+    """Yield a socket over a descriptor that stays the connection's to close."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
+    try:
+        yield sock
+    finally:
+        sock.detach()
+
 
 class FrameConnection:
     """One TCP connection; a message that stalls half-way breaks it."""
@@ -47,10 +73,26 @@
         self.descriptor = self._connection.fileno()
         self._poll = select.poll()
         self._poll.register(self.descriptor, select.POLLIN)
+        self._room = select.poll()
+        self._room.register(self.descriptor, select.POLLOUT)
 
-    def send(self, message):
-        """Send one message; raise OSError when the connection broke."""
-        self._connection.send_bytes(message)
+    def send(self, message, wait=None):
+        """Send one message; raise OSError when the connection broke.
+
+        ``wait()`` is called before each write: it returns when there is room, or
+        raises what ends the wait.
+        """
+        self._connection.before_write = wait
+        try:
+            self._connection.send_bytes(message)
+        finally:
+            self._connection.before_write = None
+
+    def allow_unread(self, seconds):
+        """Let the other side's program leave what was sent unread for so long."""
+        bound = max(seconds, PROMPT.acknowledged_seconds)
+        with _socket_of(self.descriptor) as sock:
+            bound_acknowledgement(sock, bound)
 
     def send_parts(self, head, body):
         """Send a message whose head is packed; raise OSError."""
@@ -77,6 +119,10 @@
         """Wait for input and tell whether there is any, an end included."""
         return bool(self._poll.poll(max(0.0, seconds) * MILLISECONDS))
 
+    def wait_for_room(self, seconds):
+        """Wait until bytes can be sent and tell whether they can."""
+        return bool(self._room.poll(max(0.0, seconds) * MILLISECONDS))
+
     def close(self):
         """Close the connection."""
         self._connection.close()
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -8,7 +8,7 @@
 
 from rattanworks.exceptions import AnswerTooLargeError, CallAbandonedError
 from rattanworks.utils.answer_room import AnswerRoom, collect
-from rattanworks.utils.sockets import PATIENT, apply_liveness
+from rattanworks.utils.sockets import PATIENT, apply_liveness, bound_acknowledgement
 
 ABANDON_CHECK_SECONDS = 0.1
 MILLISECONDS = 1000
@@ -175,6 +175,7 @@
         self.reader = Reader(self.sock)
         self.is_reused = False
         self.usable_until = float("inf")
+        self._is_lenient = False
         self._host = host
         self._port = port
 
@@ -192,6 +193,17 @@
         self.reader.begin_body()
         return response
 
+    def allow_unread(self, seconds):
+        """Let the server leave a long body unread for so long."""
+        self._is_lenient = True
+        bound_acknowledgement(self.sock, max(seconds, PATIENT.acknowledged_seconds))
+
+    def rest(self):
+        """Notice as soon as usual, from now on, that the server went silent."""
+        if self._is_lenient:
+            self._is_lenient = False
+            bound_acknowledgement(self.sock, PATIENT.acknowledged_seconds)
+
     def close(self):
         """Close the connection."""
         self.sock.close()
@@ -228,6 +240,9 @@
     request.endheaders()
     if not has_body:
         return True
+    if len(body) > AT_ONCE_BYTES:
+        # A server that is at work on the part that it has reads the rest later.
+        connection.allow_unread(seconds_left(terms.deadline))
     pieces = (body,) if isinstance(body, bytes | memoryview) else body
     is_whole = all(_write_piece(connection.sock, piece, terms) for piece in pieces)
     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 0)
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -163,6 +163,7 @@
         )
 
     def _put_back(self, connection, answer):
+        connection.rest()
         connection.is_reused = True
         usable_seconds = idle_seconds(answer) * IDLE_PART_USED
         connection.usable_until = time.monotonic() + usable_seconds
--- a/rattanworks/utils/sockets.py
+++ b/rattanworks/utils/sockets.py
@@ -12,7 +12,8 @@
 
     An idle connection is probed after ``idle_seconds``, then ``probes`` times
     that far apart; sent bytes must be acknowledged within
-    ``acknowledged_seconds``.
+    ``acknowledged_seconds``. Bytes that the other side's program leaves unread for
+    so long that they fill its buffer count as not acknowledged.
     """
 
     idle_seconds: int
@@ -36,12 +37,15 @@
         (socket.TCP_KEEPIDLE, liveness.idle_seconds),
         (socket.TCP_KEEPINTVL, liveness.idle_seconds),
         (socket.TCP_KEEPCNT, liveness.probes),
-        (
-            socket.TCP_USER_TIMEOUT,
-            round(liveness.acknowledged_seconds * MILLISECONDS),
-        ),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    bound_acknowledgement(sock, liveness.acknowledged_seconds)
+
+
+def bound_acknowledgement(sock, seconds):
+    """Set how long sent bytes may go unacknowledged on a TCP socket."""
+    milliseconds = max(1, round(seconds * MILLISECONDS))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
 def is_closed_by_peer(sock):
