Wake for a caller's leaving only where one may leave

The wait for an answer over HTTP woke ten times a second also for requests that nobody can abandon, such as a watch of the store, since it is the only wait before a read. Those now wait in one poll, as before the bounds on answers.

--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -271,9 +271,10 @@
     """
     poll = select.poll()
     poll.register(sock, events)
+    longest = float("inf") if terms.is_abandoned is None else ABANDON_CHECK_SECONDS
     while True:
         left = seconds_left(terms.deadline)
-        ready = poll.poll(min(left, ABANDON_CHECK_SECONDS) * MILLISECONDS)
+        ready = poll.poll(min(left, longest) * MILLISECONDS)
         if ready:
             return ready[0][1]
         require_wanted(terms)
