Bound large bodies by the memory of the host

The bodies of large requests and answers might take 128 MiB on each host, next to the 91 MB of a node of the design size; the smallest hosts give a process 200 MB and kill it beyond. A quarter of what the host gives is the bound now.

--- a/rattanworks/platform/settings.py
+++ b/rattanworks/platform/settings.py
@@ -20,6 +20,9 @@
 from rattanworks.settings.node import NODE, ListenSettings, NodeSettings
 
 ENVIRONMENT_KEY = "RATTANWORKS_NODE_FILE"
+# Part of a host's memory for the bodies of large requests and answers: next to it a
+# node of the design size takes 91 MB (docs/CAPACITY.md), of 200 MB on the smallest.
+BODIES_PART = 0.25
 # Callers learn within two questions, a second apart, that a node leaves.
 TOLD_SECONDS = 2.5
 # Part of the shared budget of repeats that entries use. A backend server that runs a
@@ -30,6 +33,8 @@
 CONTROL_PORT_INDEX = 0
 
 MAX_PORT = 65535
+MAX_MEMORY_MB = 1024 * 1024
+MEGABYTE = 1000 * 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,8 +44,9 @@
     ``callers`` takes requests of callers and of the backend server, ``reports``
     the backend server's heartbeats, ``peers`` calls of other nodes, ``ready``
     the platform's question whether the node is ready, ``metrics`` is the port of
-    the metrics, 0 for none. ``backend`` is the
-    backend server's address; ``bounds`` are texts such as ``grace=6s``.
+    the metrics, 0 for none. ``memory_mb`` is what the process may take, 0 when
+    unknown. ``backend`` is the backend server's address; ``bounds`` are texts such
+    as ``grace=6s``.
     """
 
     host: str
@@ -49,6 +55,7 @@
     peers: str
     ready: str
     metrics: int
+    memory_mb: int
     ports: tuple[int, ...]
     backend: str
     heartbeat: str
@@ -64,6 +71,7 @@
         "peers": Address(),
         "ready": Address(),
         "metrics": Number(0, 0, MAX_PORT, whole=True),
+        "memory_mb": Number(0, 0, MAX_MEMORY_MB, whole=True),
         "ports": ListOf(Number(0, 0, MAX_PORT, whole=True)),
         "backend": Address(),
         "heartbeat": Text(),
@@ -101,8 +109,9 @@
 def _decoded(node, table, faults):
     try:
         bounds = dict(_bound(text) for text in table.bounds)
+        node = _with_memory(_with_listeners(node, table), table.memory_mb)
         return PlatformSettings(
-            node=_with_bounds(_with_listeners(node, table), bounds),
+            node=_with_bounds(node, bounds),
             backend_address=table.backend,
             heartbeat_seconds=parse_duration(table.heartbeat),
             least_lease_seconds=parse_duration(table.least_lease),
@@ -133,6 +142,15 @@
     return dataclasses.replace(node, listen=listen)
 
 
+def _with_memory(node, memory_mb):
+    if not memory_mb:
+        return node
+    most = int(memory_mb * MEGABYTE * BODIES_PART)
+    bodies = min(node.traffic.large_bodies_bytes, most)
+    traffic = dataclasses.replace(node.traffic, large_bodies_bytes=bodies)
+    return dataclasses.replace(node, traffic=traffic)
+
+
 def _with_bounds(node, bounds):
     if "grace" in bounds:
         drain = dataclasses.replace(
--- a/rattanworks/tests/platform/builders.py
+++ b/rattanworks/tests/platform/builders.py
@@ -73,6 +73,42 @@
 }
 
 
+SETTINGS = """
+[host]
+name = "node-1"
+region = "qc-est"
+failure_domain = "qc-est-a"
+service = "catalogue"
+
+[store]
+address = "{store}"
+
+[traffic]
+callers_threads = 12
+local_threads = 2
+peers_threads = 8
+
+[platform]
+host = "127.0.0.1"
+callers = "127.0.0.1:0"
+reports = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+memory_mb = {memory_mb}
+ports = [0]
+backend = "{backend}"
+heartbeat = "30s"
+least_lease = "1s"
+bounds = ["grace={grace}", "retryBudgetRatio=0.2", "budgetSlack=58"]
+"""
+
+
+def build_settings_text(**fields):
+    """Return the text of a node's settings as the platform renders them."""
+    defaults = {"store": "127.0.0.1:1", "backend": "127.0.0.1:2"}
+    return SETTINGS.format(**{**defaults, "grace": "2s", "memory_mb": 0, **fields})
+
+
 def build_configuration(**changes):
     """Return the bytes of the operator's record of a configuration."""
     return json.dumps({**CONFIGURATION, **changes}).encode()
--- a/rattanworks/tests/platform/session_tests.py
+++ b/rattanworks/tests/platform/session_tests.py
@@ -17,6 +17,7 @@
 from rattanworks.tests.golden import assert_golden
 from rattanworks.tests.platform.builders import (
     build_heartbeat,
+    build_settings_text,
     one_service_configuration,
 )
 from rattanworks.tests.platform.standins import (
@@ -38,34 +39,6 @@
     "X-Server-Signature",
 )
 
-SETTINGS = """
-[host]
-name = "node-1"
-region = "qc-est"
-failure_domain = "qc-est-a"
-service = "catalogue"
-
-[store]
-address = "{store}"
-
-[traffic]
-callers_threads = 12
-local_threads = 2
-peers_threads = 8
-
-[platform]
-host = "127.0.0.1"
-callers = "127.0.0.1:0"
-reports = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-ports = [0]
-backend = "{backend}"
-heartbeat = "30s"
-least_lease = "1s"
-bounds = ["grace={grace}", "retryBudgetRatio=0.2", "budgetSlack=58"]
-"""
-
 
 class Session:
     """One node among stand-ins, and the text of what its callers see."""
@@ -79,7 +52,7 @@
         test.addCleanup(folder.cleanup)
         path = Path(folder.name) / "node.toml"
         path.write_text(
-            SETTINGS.format(
+            build_settings_text(
                 store=self.platform.address,
                 backend=self.backend.address,
                 grace=grace,
