--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -135,11 +135,11 @@
 
     def build_response_header(self):
         """Return the response's head."""
-        if self._is_last_wanted() and not self._is_followed():
+        if self._should_close() and not self._is_followed():
             self.set_close_on_finish()
         return super().build_response_header()
 
-    def _is_last_wanted(self):
+    def _should_close(self):
         server = self.channel.server
         return server.is_draining or len(server.active_channels) > CROWDED_CONNECTIONS
 
@@ -161,11 +161,11 @@
         self.channel.write_soon(head + data)
 
 
-class ToldChannel(HTTPChannel):
-    """Logs each call that is at work when this side closes its connection.
+class LoggedChannel(HTTPChannel):
+    """Logs each call that is at work when its connection closes.
 
     ``close_reason`` is set by whoever closes the channel for another reason than
-    an error of its socket.
+    an error of its socket, mostly a caller who left.
     """
 
     task_class = OneWriteTask
@@ -202,4 +202,4 @@
 def channel_class(budget):
     """Return a channel class whose request bodies stay within ``budget``."""
     parser = type("Parser", (BoundedRequestParser,), {"budget": budget})
-    return type("Channel", (ToldChannel,), {"parser_class": parser})
+    return type("Channel", (LoggedChannel,), {"parser_class": parser})
