Let a server of frames stop while a thread takes a connection

By reading: the check and the removal of an idle connection are two steps; a thread between them would have ended the planned stop with a KeyError. Not seen in 300 stops under load.

--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -240,6 +240,8 @@
         self._is_stopped = True
         self._waker.send(b"\0")
         self._listener.close()
-        while self._idle_by_descriptor:
-            _, connection = self._idle_by_descriptor.popitem()
-            connection.close()
+        # A thread may take a connection between a look and a removal.
+        for descriptor in list(self._idle_by_descriptor):
+            connection = self._idle_by_descriptor.pop(descriptor, None)
+            if connection is not None:
+                connection.close()
