Judge a call in a planned stop by its own time, and let chains end

Callers of long patience were refused for calls that end soon: a late call was judged by its caller's deadline, though its route's timeout ends it sooner. And a backend server's own calls were refused as soon as its node brought it no new ones, so that calls at work failed (a nested call at 2.7 s of 6: 500 for its caller).

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -1,10 +1,11 @@
 """The callers' HTTP interface, described in docs/user-guide/callers.md."""
 
+import functools
 import math
 import threading
 import uuid
 
-from rattanworks.model.call import Outcome, never, refusal
+from rattanworks.model.call import Outcome, always, never, refusal
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.utils.headers import request_headers
 from rattanworks.utils.http_parts import HAS_LEFT_KEY, RECEIVED_AT_KEY
@@ -107,7 +108,7 @@
             timeout = self._dialect.timeout(environ, self._default_timeout)
         except ValueError:
             return refusal(400, "the request's time limit is no number: correct it")
-        if not self._takes_call(received_at, received_at + timeout):
+        if not self._takes_call(received_at, received_at):
             return self._not_taken(request_id, timeout)
         if len(request_id) > MAX_ID_LENGTH:
             return refusal(400, f"X-Request-Id: at most {MAX_ID_LENGTH} characters")
@@ -119,7 +120,7 @@
         return self._handle(environ, request_id, path, received_at, timeout)
 
     def _not_taken(self, request_id, timeout):
-        log_event("call-not-taken", request_id=request_id, seconds_left=timeout)
+        log_event("call-not-taken", request_id=request_id, timeout_seconds=timeout)
         return refusal(
             503, "the node is not ready or is stopping", NOT_READY_RETRY_AFTER_SECONDS
         )
@@ -143,6 +144,7 @@
                     is_abandoned=_is_abandoned(environ),
                     host=environ.get("HTTP_HOST", ""),
                     received_at=received_at,
+                    may_begin=functools.partial(self._takes_call, received_at),
                 )
             )
         finally:
@@ -152,9 +154,5 @@
 
 def _is_abandoned(environ):
     if environ.get(HAS_LEFT_KEY, never)():
-        return _always
+        return always
     return environ.get("waitress.client_disconnected", never)
-
-
-def _always():
-    return True
--- a/rattanworks/model/call.py
+++ b/rattanworks/model/call.py
@@ -31,6 +31,11 @@
     return False
 
 
+def always(*facts):
+    """Tell that something is so, whatever it is asked about."""
+    return True
+
+
 class StreamedBody:
     """A body of ``size`` bytes that still arrives; it can be iterated once."""
 
--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -180,7 +180,7 @@
         # The backend server goes on without its node: each second in which the node
         # serves it is one in which the service has its slots.
         node.servers_by_listener["callers"].close_after_answers()
-        _sleep_until(plan.serves_until)
+        _sleep_until(plan.endpoint_until)
         node.heartbeats.stop()
         node.owner.stop()
         news = self._beside(lambda: node.gossiper.flush(LEAVE_TELL_SECONDS))
@@ -235,7 +235,7 @@
         callers = self._node.servers_by_listener["callers"]
         # An idle connection that is closed may cross its next request: callers
         # get time to learn from an answer that it is the connection's last.
-        while callers.has_connections and time.monotonic() < plan.lingers_until:
+        while callers.has_connections and time.monotonic() < plan.taking_until:
             time.sleep(DRAIN_POLL_SECONDS)
         self._serve_until_idle(plan)
         callers.drain()
@@ -246,6 +246,12 @@
         while callers.has_connections and time.monotonic() < plan.calls_until:
             callers.close_idle_connections()
             time.sleep(DRAIN_POLL_SECONDS)
+        # What began meanwhile, such as a call of the backend server.
+        while not self._is_idle() and time.monotonic() < plan.calls_until:
+            time.sleep(DRAIN_POLL_SECONDS)
+
+    def _is_idle(self):
+        return not any(self._at_work().values())
 
     def _serve_until_idle(self, plan):
         """Keep listening: callers who do not know yet are answered or refused."""
@@ -253,7 +259,7 @@
         callers = servers["callers"]
         quiet_since = time.monotonic()
         while time.monotonic() < plan.calls_until:
-            callers.close_idle_connections(plan.lingers_until)
+            callers.close_idle_connections(plan.taking_until)
             # Entries that have not heard the news yet still send calls; a quiet
             # spell shows that all have.
             if not all(servers[name].is_idle for name in QUIET_LISTENERS):
--- a/rattanworks/node/stopping.py
+++ b/rattanworks/node/stopping.py
@@ -5,30 +5,37 @@
 
 from dataclasses import dataclass
 
-# Of a stop, at most this part serves new calls: the rest is for those at work.
-SERVING_PART = 1 / 2
-# Callers who see no closed connection reuse an idle one for so long after a stop
-# began: two questions about readiness, a second apart, and the way of the news.
-LINGER_SECONDS = 3.0
-# The end of the process needs a fraction of this on a loaded host of half a
-# processor; a stop shorter than 6 s keeps a smaller part, half of its last sixth.
-EXIT_SECONDS = 0.5
+# At most this part of a stop brings new calls to the node's own backend server, and
+# this part new calls of callers: the rest is for those at work.
+ENDPOINT_PART = 5 / 12
+TAKING_PART = 1 / 2
+# Callers need so long to learn of a stop: two questions about readiness, a second
+# apart, and the way of the news. Till then they use connections that they have.
+TOLD_SECONDS = 3.0
+# Kept for the end of the process: half of the last sixth of a stop, in which a call
+# that is still at work may be cut, and no more than this.
 EXIT_PART = 1 / 12
-# Between a call's deadline and the end of its answer to the caller.
+EXIT_SECONDS = 0.5
+# Of the time for the exit, what is left to a supervisor whose clock runs early.
+SPARE_PART = 1 / 5
+# From a call's deadline until its caller has the answer: more than the entry waits
+# for an owner past the deadline (0.05 s).
 ANSWER_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class StopPlan:
-    """The steps of a planned stop, in monotonic seconds.
+    """The steps of a planned stop in monotonic seconds, in their order.
 
-    Until ``serves_until`` the node takes every call, until ``lingers_until`` idle
-    connections stay open, and until ``calls_until`` calls at work keep theirs.
+    Until ``endpoint_until`` the backend server beside the node gets calls. Until
+    ``taking_until`` every call of a caller is taken and idle connections stay open.
+    Until ``calls_until`` calls at work are kept; then the process ends, by
+    ``ends_at``.
     """
 
     began: float
-    serves_until: float
-    lingers_until: float
+    endpoint_until: float
+    taking_until: float
     calls_until: float
     ends_at: float
 
@@ -38,20 +45,20 @@
         One that comes late is taken only when its time ends before the stop may
         cut it: a refusal can be repeated elsewhere, a cut call perhaps not.
         """
-        is_early = received_at <= self.serves_until
+        is_early = received_at <= self.taking_until
         return is_early or deadline + ANSWER_SECONDS <= self.calls_until
 
 
 def plan_stop(began, drain):
-    """Return the StopPlan under some DrainSettings of a stop that begins now."""
+    """Return the StopPlan under some DrainSettings of a stop that was asked for."""
     seconds = drain.timeout_seconds
-    half = began + seconds * SERVING_PART
+    endpoint_seconds = min(drain.accept_seconds, seconds * ENDPOINT_PART)
+    taking_seconds = min(TOLD_SECONDS, seconds * TAKING_PART)
     exit_seconds = min(EXIT_SECONDS, seconds * EXIT_PART)
-    serves_until = min(half, began + drain.accept_seconds)
     return StopPlan(
         began=began,
-        serves_until=serves_until,
-        lingers_until=min(half, max(serves_until, began + LINGER_SECONDS)),
+        endpoint_until=began + endpoint_seconds,
+        taking_until=began + max(endpoint_seconds, taking_seconds),
         calls_until=began + seconds - exit_seconds,
-        ends_at=began + seconds,
+        ends_at=began + seconds - exit_seconds * SPARE_PART,
     )
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -16,6 +16,7 @@
     Call,
     Headers,
     Outcome,
+    always,
     never,
     refusal,
     unknown_outcome,
@@ -47,7 +48,8 @@
     ``received_at`` is the monotonic time of its first byte, from which the
     route's timeout counts; 0 stands for now. ``is_retried_outside`` says that
     whoever stands further out in the chain of calls retries, so that this entry
-    must not.
+    must not. ``may_begin(deadline)`` tells whether the node takes a call that has
+    until that monotonic time.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     is_abandoned: Callable[[], bool] = never
     host: str = ""
     received_at: float = 0.0
+    may_begin: Callable[[float], bool] = always
 
 
 class Entry:
@@ -115,9 +118,10 @@
         if target is None:
             text = f"service {service} is not available now"
             return self._unmatched(request, 503, text)
-        return self._answer(
-            request, match.route, self._call_for(request, match, target), target
-        )
+        call = self._call_for(request, match, target)
+        if not request.may_begin(call.deadline):
+            return self._unmatched(request, 503, "the node stops before the call ends")
+        return self._answer(request, match.route, call, target)
 
     def _answer(self, request, route, call, target):
         attempts = Attempts(route.attempts or DEFAULT_ATTEMPTS)
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -102,8 +102,8 @@
 class DrainSettings:
     """How long a planned stop may take, the end of the process included.
 
-    For the first ``accept_seconds`` of it, half of it at most, the node serves on
-    while callers learn that it is no longer ready.
+    For the first ``accept_seconds`` of it, five twelfths at most, the backend server
+    still gets calls while callers learn that the node is no longer ready.
     """
 
     timeout_seconds: float
