Count a stop from its signal, and end the process by the stop's own time

A stop that was noticed late, after a reload or on a host with little processor time, counted from then: SIGKILL came before the time at which calls at work were to be cut. The signal's handler notes the time; a process that waits past the end of its stop says so and ends.

--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -13,7 +13,7 @@
 from rattanworks.node.lifecycle import Phase
 from rattanworks.node.stopping import EXIT_SECONDS, plan_stop
 from rattanworks.utils.backoff import FullJitterBackoff
-from rattanworks.utils.logging import log_event
+from rattanworks.utils.logging import flush_log, log_event
 from rattanworks.utils.signals import wait_with_signals
 
 READY_POLL_SECONDS = 0.2
@@ -32,6 +32,7 @@
 QUIET_LISTENERS = ("local", "peers")
 DRAINED_LISTENERS = ("callers", *QUIET_LISTENERS)
 EXIT_FORCED = 1
+LAST_FLUSH_SECONDS = 0.05
 SWITCH_INTERVAL_SECONDS = 0.0005
 
 
@@ -46,6 +47,7 @@
         self._settings_file = settings_file
         self._stop_requested = threading.Event()
         self._signals = 0
+        self._stop_asked_at = 0.0
         self._join_backoff = FullJitterBackoff(
             JOIN_RETRY_BASE_SECONDS, JOIN_RETRY_CAP_SECONDS
         )
@@ -69,10 +71,14 @@
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         self.start()
         wait_with_signals(self._stop_requested, self._reload_if_changed)
-        self.stop()
+        plan = self.new_stop_plan()
+        threading.Thread(target=_end_at, args=(plan.ends_at,), daemon=True).start()
+        self.stop(plan)
 
     def _on_signal(self, number, frame):
         # No log line here: the interrupted code may hold the log's lock.
+        if not self._signals:
+            self._stop_asked_at = time.monotonic()
         self._signals += 1
         self._stop_requested.set()
 
@@ -165,10 +171,18 @@
             read_contacts(node.store, node.control_server.address)
         )
 
-    def stop(self):
-        """Drain: serve calls at work until they end or the stop must, then stop."""
+    def new_stop_plan(self):
+        """Return the StopPlan, which counts from the signal if there was one."""
+        asked_at = self._stop_asked_at or time.monotonic()
+        return plan_stop(asked_at, self._node.settings.drain)
+
+    def stop(self, plan=None):
+        """Drain: serve calls at work until they end or the stop must, then stop.
+
+        ``plan`` is the StopPlan, by default that of a stop asked for now.
+        """
         node = self._node
-        plan = plan_stop(time.monotonic(), node.settings.drain)
+        plan = plan or self.new_stop_plan()
         node.lifecycle.begin_stop(plan)
         log_event(
             "node-draining",
@@ -272,3 +286,11 @@
 
 def _sleep_until(moment):
     time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def _end_at(moment):
+    """End the process at a monotonic time, whatever it still waits for."""
+    _sleep_until(moment)
+    log_event("stop-overdue")
+    flush_log(LAST_FLUSH_SECONDS)
+    os._exit(EXIT_FORCED)
--- a/rattanworks/utils/logging.py
+++ b/rattanworks/utils/logging.py
@@ -140,13 +140,23 @@
     return message.get("message_type") or message.get("action_type", "event")
 
 
+_destinations = []
+
+
 def configure_logging(stream=None, **context):
     """Send every event to ``stream`` (default: standard error) with ``context``."""
     destination = LineDestination(stream or sys.stderr, context)
     eliot.add_destinations(destination)
+    _destinations.append(destination)
     atexit.register(destination.flush, FLUSH_SECONDS)
 
 
+def flush_log(timeout):
+    """Wait up to ``timeout`` seconds until the lines so far were written."""
+    for destination in _destinations:
+        destination.flush(timeout)
+
+
 def log_event(event, **fields):
     """Log one event with its fields."""
     eliot.log_message(message_type=event, **fields)
