--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -141,11 +141,8 @@
         Until then the owner's host may leave bytes unacknowledged: a host that
         falls silent is noticed at the deadline.
         """
-        until = call.deadline + ANSWER_GRACE_SECONDS
-        connection.allow_unread(until - self._clock.monotonic())
-        patience = Patience(
-            connection.wait_for_room, self._clock, until, call.is_abandoned
-        )
+        patience = self._patience(connection.wait_for_room, call)
+        connection.allow_unread(call.deadline - self._clock.monotonic())
         for piece in pieces_of(call.body):
             connection.send(piece, patience)
         answered = self._receive(connection, gap, call)
@@ -162,8 +159,7 @@
         return FAR_INLINE_BODY_BYTES if is_far else INLINE_BODY_BYTES
 
     def _receive(self, connection, gap, call):
-        until = call.deadline + ANSWER_GRACE_SECONDS
-        patience = Patience(connection.wait, self._clock, until, call.is_abandoned)
+        patience = self._patience(connection.wait, call)
         head, body = connection.parts_of(connection.receive(patience))
         message = decode_answer(head)
         if message.request_id != call.request_id:
@@ -176,6 +172,10 @@
             body = self._receive_body(connection, message.body_size, patience)
         return message, body
 
+    def _patience(self, wait, call):
+        until = call.deadline + ANSWER_GRACE_SECONDS
+        return Patience(wait, self._clock, until, call.is_abandoned)
+
     def _receive_body(self, connection, size, patience):
         room = AnswerRoom(self._bounds)
         room.require_allowed(size)
--- a/rattanworks/platform/settings.py
+++ b/rattanworks/platform/settings.py
@@ -23,8 +23,9 @@
 # Part of a host's memory for the bodies of large requests and answers: next to it a
 # node of the design size takes 91 MB (docs/CAPACITY.md), of 200 MB on the smallest.
 BODIES_PART = 0.25
-# Callers learn within two questions, a second apart, that a node leaves.
-TOLD_SECONDS = 2.5
+# Callers learn within two questions, a second apart, that a node leaves; till then
+# its backend server gets calls.
+ACCEPT_SECONDS = 2.5
 # Part of the shared budget of repeats that entries use. A backend server that runs a
 # repeated call repeats its own calls, which count at the service that they go to;
 # with chains half is left for those that are not seen as such.
@@ -156,7 +157,7 @@
         drain = dataclasses.replace(
             node.drain,
             timeout_seconds=parse_duration(bounds["grace"]),
-            accept_seconds=TOLD_SECONDS,
+            accept_seconds=ACCEPT_SECONDS,
         )
         node = dataclasses.replace(node, drain=drain)
     if "retryBudgetRatio" in bounds:
