Tell how far a node is behind the versions that it was told of

Neither logs nor metrics could tell a fetch that keeps failing from a fetch that hangs and from a node that was not told.

version-fetched and fetch-failed now carry how long the fetch took, the newest version announced and for how long the first missing one has been known; two gauges have the same.

--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -3,6 +3,7 @@
 import random
 import threading
 
+from rattanworks.distribution.announcements import Announcements
 from rattanworks.distribution.content import decode_manifest, verify_blob
 from rattanworks.distribution.sources import PeerSource, SourceQueue, StoreSource
 from rattanworks.exceptions import (
@@ -39,6 +40,7 @@
         self._random = random.Random()
         budget = TokenBucket(STORE_READS_PER_SECOND, STORE_READ_BURST, clock)
         self._store_source = StoreSource(store, budget)
+        self.announcements = Announcements(clock)
         self._changed = threading.Condition()
         self._target = NO_HEAD
         self._target_since = 0.0
@@ -93,6 +95,7 @@
 
     def _add_source(self, head, source, delay=0.0):
         now = self._clock.monotonic()
+        self.announcements.record(head)
         with self._changed:
             if head.version < self._target.version:
                 return
@@ -130,28 +133,52 @@
 
     def pull(self, head, source):
         """Fetch a version from one source and put it in force."""
+        started_at = self._clock.monotonic()
         try:
-            self._configuration.put_in_force(head, self._fetch_missing(head, source))
+            contents = self._fetch_missing(head, source)
+            self._log_fetched(head, source, started_at)
+            self._configuration.put_in_force(head, contents)
         except BlobUnusableError as error:
-            self._record_failure(head, source, error)
+            self._record_failure(head, source, started_at, error)
         except VersionRefusedError:
             self._clear_target(head)
             self._target_parent_if_empty(head, source)
             self.on_refused()
         except RattanworksError as error:
-            self._record_failure(head, source, error)
+            self._record_failure(head, source, started_at, error)
         else:
             self._clear_target(head)
 
-    def _record_failure(self, head, source, error):
+    def _log_fetched(self, head, source, started_at):
         log_event(
-            "fetch-failed", version=head.version, source=source.name, reason=str(error)
+            "version-fetched",
+            version=head.version,
+            source=source.name,
+            **self._progress_since(started_at),
+        )
+
+    def _progress_since(self, started_at):
+        now = self._clock.monotonic()
+        return {
+            "seconds": round(now - started_at, 3),
+            "announced": self.announcements.newest.version,
+            "behind_seconds": round(self.announcements.behind_seconds, 3),
+        }
+
+    def _record_failure(self, head, source, started_at, error):
+        log_event(
+            "fetch-failed",
+            version=head.version,
+            source=source.name,
+            **self._progress_since(started_at),
+            reason=str(error),
         )
         with self._changed:
             if head == self._target:
                 self._sources.record_failure(source, self._clock.monotonic())
 
     def _clear_target(self, head):
+        self.announcements.settle(head)
         with self._changed:
             if head == self._target:
                 self._set_target(NO_HEAD, 0.0)
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -49,11 +49,20 @@
 def add_gauges(registry, node):
     """Register the gauges, which read the state of a Node at each scrape."""
     configuration, members, owner = node.configuration, node.members, node.owner
+    announcements = node.replicator.announcements
     gauges_by_name = {
         "rattanworks_config_version": (
             "Version of the lists in force",
             lambda: configuration.head.version,
         ),
+        "rattanworks_config_announced_version": (
+            "Newest version of the lists that peers or the store announced",
+            lambda: announcements.newest.version,
+        ),
+        "rattanworks_config_behind_seconds": (
+            "Seconds for which an announced version has not been in force",
+            lambda: announcements.behind_seconds,
+        ),
         "rattanworks_config_refused_versions": (
             "Versions of the lists that this node refused of late",
             lambda: len(configuration.refused),
