--- /dev/null
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -0,0 +1,81 @@
+"""Versions that are accepted faster than one node can fetch them."""
+
+import unittest
+
+from rattanworks.distribution.configuration import Configuration
+from rattanworks.distribution.replicator import Replicator
+from rattanworks.tests.builders import build_version
+from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
+
+GAP_SECONDS = 0.55
+VERSIONS = 24
+PEERS = ("p1", "p2")
+# The tightest bound that a deployment of the users sets for a version to be in force.
+IN_FORCE_SECONDS = 2.0
+
+
+class Series:
+    """A replicator and two peers that always hold the newest version.
+
+    A request to a peer takes ``request_seconds``; half of them pass before the peer
+    reads what it holds. Versions go on being announced meanwhile.
+    """
+
+    def __init__(self, request_seconds):
+        self.clock = FakeClock()
+        self._request_seconds = request_seconds
+        self._versions = [build_version(number) for number in range(1, VERSIONS + 1)]
+        self._announced = 0
+        self._peers = FakeControlPeers({address: self._serve for address in PEERS})
+        self.configuration = Configuration()
+        self.replicator = Replicator(
+            self.configuration, self._peers, FakeStore(), self.clock
+        )
+        # A peer is a node of its own, which holds its newest version only.
+        self._held = Configuration()
+        self._peer = Replicator(self._held, self._peers, FakeStore(), self.clock)
+        self.longest_behind = 0.0
+
+    def _serve(self, message):
+        self._advance(self._request_seconds / 2)
+        reply = self._peer.serve(message)
+        self._advance(self._request_seconds / 2)
+        return reply
+
+    def _advance(self, seconds):
+        end = self.clock.time + seconds
+        while self.clock.time < end:
+            due = self._announced * GAP_SECONDS
+            if self._announced < VERSIONS and due <= end:
+                self.clock.time = max(self.clock.time, due)
+                self._announce_next()
+            else:
+                self.clock.time = end
+        behind = self.replicator.announcements.behind_seconds
+        self.longest_behind = max(self.longest_behind, behind)
+
+    def _announce_next(self):
+        head, contents = self._versions[self._announced]
+        self._held.put_in_force(head, contents)
+        self._announced += 1
+        for address in PEERS:
+            self.replicator.handle_peer_head(head, address)
+
+    def play(self):
+        """Run until a few seconds after the last version."""
+        while self.clock.time < (VERSIONS + 8) * GAP_SECONDS:
+            fetch = self.replicator.next_fetch()
+            if fetch is None:
+                self._advance(0.01)
+            else:
+                self.replicator.pull(*fetch)
+
+
+class VersionSeriesTests(unittest.TestCase):
+    def test_a_node_whose_fetches_are_slower_than_the_series_is_not_left_behind(self):
+        for request_seconds in (0.1, 0.25, 0.35, 0.5, 0.7, 0.9):
+            with self.subTest(request_seconds=request_seconds):
+                series = Series(request_seconds)
+                series.play()
+                self.assertEqual(series.configuration.head.version, VERSIONS)
+                self.assertLessEqual(series.longest_behind, IN_FORCE_SECONDS)
