Fetch the newest version that a source has, so that a series leaves no node behind

What callers saw: 404 for a route that had been accepted over 2.5 s before, from a host that was neither stopped nor cut off.

Cause: a node asked a peer for a version by its hash, and then for its blobs; a peer has the content of its newest version only. Each newer announcement dropped the sources of the version before and restarted the 4 s after which the store is asked. With versions 0.55 s apart and 0.35 s or more for a request, nothing came into force until the series ended.

Ruled out: a peer that holds the only fetch, missing announcements.

Change: one exchange gives the newest version of the source, but for the blobs whose hashes the node sends. Announcements restart nothing; a source that is announced again keeps its place. Peers of an earlier build answer as before.

--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -5,7 +5,12 @@
 
 from rattanworks.distribution.announcements import Announcements
 from rattanworks.distribution.content import decode_manifest, verify_blob
-from rattanworks.distribution.sources import PeerSource, SourceQueue, StoreSource
+from rattanworks.distribution.sources import (
+    KNOWN_HASH_DIGITS,
+    PeerSource,
+    SourceQueue,
+    StoreSource,
+)
 from rattanworks.exceptions import (
     BlobUnusableError,
     RattanworksError,
@@ -26,11 +31,12 @@
 class Replicator:
     """Fetches each newer version from the sources that announced it.
 
-    Only the blobs that the node lacks are fetched. A source that fails is retried
-    after a jittered delay, and the others are tried meanwhile. When no peer has
-    delivered the version after STORE_FALLBACK_SECONDS, the next announcement adds
-    the store as a source. ``on_refused`` is called when a version fails validation
-    on this node, which can still serve its blobs to peers.
+    A source gives the newest version that it has, of which only the blobs that the
+    node lacks are fetched. A source that fails is retried after a jittered delay, and
+    the others are tried meanwhile. When a version has been missing for
+    STORE_FALLBACK_SECONDS, the store is added as a source. Newer announcements restart
+    neither a fetch nor these times. ``on_refused`` is called when a version fails
+    validation on this node, which can still serve its blobs to peers.
     """
 
     def __init__(self, configuration, peers, store, clock):
@@ -42,8 +48,6 @@
         self._store_source = StoreSource(store, budget)
         self.announcements = Announcements(clock)
         self._changed = threading.Condition()
-        self._target = NO_HEAD
-        self._target_since = 0.0
         self._sources = SourceQueue()
         self._is_stopped = False
         self.on_refused = lambda: None
@@ -68,10 +72,13 @@
 
     def serve(self, message):
         """Answer a peer's FetchRequest with the blobs that this node has."""
-        held = self._configuration.held.content_by_hash
-        return FetchReply(
-            {hash: compress(held[hash]) for hash in message.hashes if hash in held}
-        )
+        held = self._configuration.held
+        contents = held.content_by_hash
+        if not message.accepts_newest:
+            return FetchReply(_compressed(contents, message.hashes))
+        known = frozenset(message.known_prefixes)
+        hashes = [hash for hash in contents if hash[:KNOWN_HASH_DIGITS] not in known]
+        return FetchReply(_compressed(contents, hashes), held.head)
 
     def handle_peer_head(self, head, address):
         """Add a peer as a source of its head, if that is an update."""
@@ -94,23 +101,11 @@
         self.handle_store_head(head, self._random.uniform(0, MAX_START_DELAY_SECONDS))
 
     def _add_source(self, head, source, delay=0.0):
-        now = self._clock.monotonic()
         self.announcements.record(head)
         with self._changed:
-            if head.version < self._target.version:
-                return
-            if head != self._target:
-                self._set_target(head, now)
-            self._sources.add(source, now + delay)
-            if now - self._target_since > STORE_FALLBACK_SECONDS:
-                self._sources.add(self._store_source, now)
+            self._sources.add(source, head, self._clock.monotonic() + delay)
             self._changed.notify_all()
 
-    def _set_target(self, head, now):
-        self._target = head
-        self._target_since = now
-        self._sources.clear()
-
     def _run(self):
         while not self._is_stopped:
             fetch = self._wait_for_fetch()
@@ -121,33 +116,48 @@
         with self._changed:
             fetch = self.next_fetch()
             if fetch is None and not self._is_stopped:
-                due = self._sources.next_due()
+                due = self._next_due()
                 timeout = None if due is None else due - self._clock.monotonic()
                 self._changed.wait(timeout if timeout is None else max(0.0, timeout))
             return fetch
 
+    def _next_due(self):
+        times = [self._sources.next_due()]
+        if self._store_source not in self._sources:
+            times.append(self._store_due())
+        return min((due for due in times if due is not None), default=None)
+
+    def _store_due(self):
+        behind_since = self.announcements.behind_since
+        return None if behind_since is None else behind_since + STORE_FALLBACK_SECONDS
+
     def next_fetch(self):
-        """Return the head to fetch and the source to try now, or None."""
-        source = self._sources.find_due(self._clock.monotonic())
-        return None if source is None else (self._target, source)
+        """Return an announced head and the source to try now, or None."""
+        # An announcement may have been recorded while its version came into force.
+        self._settle(self._configuration.head)
+        now = self._clock.monotonic()
+        store_due = self._store_due()
+        if store_due is not None and store_due <= now:
+            self._sources.add(self._store_source, self.announcements.newest, now)
+        return self._sources.find_due(now)
 
     def pull(self, head, source):
-        """Fetch a version from one source and put it in force."""
+        """Fetch ``head`` or a newer version from a source and put it in force."""
         started_at = self._clock.monotonic()
         try:
-            contents = self._fetch_missing(head, source)
+            head, contents = self._fetch(head, source)
             self._log_fetched(head, source, started_at)
             self._configuration.put_in_force(head, contents)
         except BlobUnusableError as error:
             self._record_failure(head, source, started_at, error)
         except VersionRefusedError:
-            self._clear_target(head)
+            self._settle(head)
             self._target_parent_if_empty(head, source)
             self.on_refused()
         except RattanworksError as error:
             self._record_failure(head, source, started_at, error)
         else:
-            self._clear_target(head)
+            self._settle(head)
 
     def _log_fetched(self, head, source, started_at):
         log_event(
@@ -174,14 +184,13 @@
             reason=str(error),
         )
         with self._changed:
-            if head == self._target:
-                self._sources.record_failure(source, self._clock.monotonic())
+            self._sources.record_failure(source, self._clock.monotonic())
 
-    def _clear_target(self, head):
+    def _settle(self, head):
+        """Forget the announcements up to a head that is in force or refused."""
         self.announcements.settle(head)
         with self._changed:
-            if head == self._target:
-                self._set_target(NO_HEAD, 0.0)
+            self._sources.keep_newer_than(head.version)
 
     def _target_parent_if_empty(self, head, source):
         # A node with nothing in force uses the parent of the refused version: a node
@@ -199,24 +208,41 @@
             self._add_source(parent, source)
             self._add_source(parent, self._store_source)
 
-    def _fetch_missing(self, head, source):
-        fetched = self._fetch_verified(source, [head.manifest_hash])
-        content = fetched[head.manifest_hash]
-        manifest = decode_manifest(content, head.manifest_hash)
+    def _fetch(self, head, source):
+        """Return the head of the version fetched and its blobs that were missing."""
         held = self._configuration.held.content_by_hash
+        newest, fetched = source.fetch_newest(head, held)
+        for hash, content in fetched.items():
+            verify_blob(content, hash)
+        if self._configuration.is_update(newest):
+            head = newest
+        if head.manifest_hash not in fetched:
+            fetched = {**fetched, **_fetch_all(source, [head.manifest_hash])}
+        manifest = decode_manifest(fetched[head.manifest_hash], head.manifest_hash)
         missing = [
-            reference.hash for reference in manifest.blobs if reference.hash not in held
+            reference.hash
+            for reference in manifest.blobs
+            if reference.hash not in held and reference.hash not in fetched
         ]
         if missing:
-            fetched = {**fetched, **self._fetch_verified(source, missing)}
-        return fetched
-
-    def _fetch_verified(self, source, hashes):
-        fetched = source.fetch(hashes)
-        for hash in hashes:
-            if hash not in fetched:
-                raise BlobUnusableError(
-                    f"{source.name} has no blob {hash[:12]}; another source may"
-                )
-            verify_blob(fetched[hash], hash)
-        return {hash: fetched[hash] for hash in hashes}
+            fetched = {**fetched, **_fetch_all(source, missing)}
+        return head, fetched
+
+
+def _compressed(content_by_hash, hashes):
+    return {
+        hash: compress(content_by_hash[hash])
+        for hash in hashes
+        if hash in content_by_hash
+    }
+
+
+def _fetch_all(source, hashes):
+    fetched = source.fetch(hashes)
+    for hash in hashes:
+        if hash not in fetched:
+            raise BlobUnusableError(
+                f"{source.name} has no blob {hash[:12]}; another source may"
+            )
+        verify_blob(fetched[hash], hash)
+    return {hash: fetched[hash] for hash in hashes}
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass
 
+from rattanworks.distribution.archive import decode_head
 from rattanworks.distribution.content import MAX_BLOB_BYTES
-from rattanworks.distribution.keys import blob_key
+from rattanworks.distribution.keys import HEAD, blob_key
 from rattanworks.exceptions import BlobUnusableError, StoreUnavailableError
 from rattanworks.model.control import FetchRequest
+from rattanworks.model.version import NO_HEAD, Head
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.compression import decompress
@@ -14,6 +16,9 @@
 RETRY_BASE_SECONDS = 0.2
 RETRY_CAP_SECONDS = 2.0
 MAX_SOURCES = 8
+# Digits by which a node names a hash that it knows: 64 bits are enough to tell the
+# few hundred blobs of a version apart.
+KNOWN_HASH_DIGITS = 16
 
 
 class PeerSource:
@@ -23,11 +28,29 @@
         self._peers = peers
         self.name = address
 
+    def fetch_newest(self, head, known_hashes):
+        """Return the head of the newest version that the peer holds, and blobs of it.
+
+        The blobs, by hash, are those whose hashes are not known. The head is NO_HEAD
+        if the peer can only answer for ``head``; the blobs are then some of that
+        version's.
+
+        Load pattern: versions that come faster than this node can fetch one. A peer
+        has the content of its newest version only, so that a version asked for by its
+        hash may be gone when the request arrives, and the next one as well.
+        """
+        prefixes = tuple(hash[:KNOWN_HASH_DIGITS] for hash in known_hashes)
+        reply = self._request(FetchRequest((head.manifest_hash,), True, prefixes))
+        return reply.head, self._decompress(reply)
+
     def fetch(self, hashes):
         """Return the requested blobs that the peer has, by hash."""
-        reply = self._peers.request(
-            self.name, FetchRequest(tuple(hashes)), PEER_TIMEOUT_SECONDS
-        )
+        return self._decompress(self._request(FetchRequest(tuple(hashes))))
+
+    def _request(self, message):
+        return self._peers.request(self.name, message, PEER_TIMEOUT_SECONDS)
+
+    def _decompress(self, reply):
         try:
             return {
                 hash: decompress(content, MAX_BLOB_BYTES)
@@ -48,33 +71,47 @@
         self._store = store
         self._budget = budget
 
+    def fetch_newest(self, head, known_hashes):
+        """Return ``head`` and its manifest by hash, or the store's head if it has none.
+
+        A store may keep only the newest version. Raise StoreUnavailableError when the
+        budget is spent.
+        """
+        contents = self.fetch([head.manifest_hash])
+        if contents:
+            return head, contents
+        entry = self._get(HEAD)
+        return (NO_HEAD if entry is None else decode_head(entry.value)), {}
+
     def fetch(self, hashes):
         """Return the requested blobs that the store has, by hash.
 
         Raise StoreUnavailableError when the budget is spent.
         """
-        entries = {hash: self._get(hash) for hash in hashes}
+        entries = {hash: self._get(blob_key(hash)) for hash in hashes}
         return {hash: entry.value for hash, entry in entries.items() if entry}
 
-    def _get(self, hash):
+    def _get(self, key):
         if not self._budget.take():
             raise StoreUnavailableError(
                 "this node's budget of store reads is spent; the fetch is retried"
             )
-        return self._store.get(blob_key(hash))
+        return self._store.get(key)
 
 
 @dataclass(slots=True)
 class _Candidate:
     source: object
+    head: Head
     due: float
     backoff: FullJitterBackoff
 
 
 class SourceQueue:
-    """The sources of one head; one that failed is due again after a jittered delay.
+    """Sources that announced versions; one that failed is due after a jittered delay.
 
-    Times are in seconds of a monotonic clock.
+    A newer announcement of a source replaces its earlier one and never makes it due
+    later. Times are in seconds of a monotonic clock.
     """
 
     def __init__(self):
@@ -83,22 +120,36 @@
     def __bool__(self):
         return bool(self._candidates_by_name)
 
-    def add(self, source, due):
-        """Add a source with the time it is due; a known one keeps its own."""
-        if source.name in self._candidates_by_name:
+    def __contains__(self, source):
+        return source.name in self._candidates_by_name
+
+    def add(self, source, head, due):
+        """Add a source of ``head`` with the time at which it is due."""
+        known = self._candidates_by_name.get(source.name)
+        if known is not None:
+            if head.version > known.head.version:
+                known.head = head
+                known.due = min(known.due, due)
             return
         if len(self._candidates_by_name) >= MAX_SOURCES:
-            self._drop_latest_due()
+            self._drop_oldest()
         backoff = FullJitterBackoff(RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
-        self._candidates_by_name[source.name] = _Candidate(source, due, backoff)
+        self._candidates_by_name[source.name] = _Candidate(source, head, due, backoff)
 
-    def _drop_latest_due(self):
+    def _drop_oldest(self):
+        """Drop the source of the oldest version, of several the one due last."""
         by_name = self._candidates_by_name
-        del by_name[max(by_name, key=lambda name: by_name[name].due)]
-
-    def clear(self):
-        """Remove every source."""
-        self._candidates_by_name.clear()
+        del by_name[
+            min(by_name, key=lambda n: (by_name[n].head.version, -by_name[n].due))
+        ]
+
+    def keep_newer_than(self, version):
+        """Remove the sources of versions up to ``version``."""
+        self._candidates_by_name = {
+            name: candidate
+            for name, candidate in self._candidates_by_name.items()
+            if candidate.head.version > version
+        }
 
     def next_due(self):
         """Return the time at which the next source is due, or None if there is none."""
@@ -108,12 +159,13 @@
         )
 
     def find_due(self, now):
-        """Return the source that has been due longest, or None."""
+        """Return the head and the source that has been due longest, or None."""
         candidates = list(self._candidates_by_name.values())
         due = [candidate for candidate in candidates if candidate.due <= now]
         if not due:
             return None
-        return min(due, key=lambda candidate: candidate.due).source
+        first = min(due, key=lambda candidate: candidate.due)
+        return first.head, first.source
 
     def record_failure(self, source, now):
         """Make the source due again after a jittered delay."""
--- a/rattanworks/model/control.py
+++ b/rattanworks/model/control.py
@@ -147,16 +147,28 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchRequest:
-    """Hashes of blobs that the sender lacks."""
+    """Hashes of blobs that the sender lacks.
+
+    With ``accepts_newest`` the sender asks for the newest version that the receiver
+    holds, whole but for the blobs whose hashes begin with one of ``known_prefixes``;
+    a receiver that does not know this field sends the blobs of ``hashes``.
+    """
 
     hashes: tuple[str, ...]
+    accepts_newest: bool = False
+    known_prefixes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class FetchReply:
-    """Compressed contents of the blobs that the receiver has, by hash."""
+    """Compressed contents of blobs that the receiver has, by hash.
+
+    ``head`` is the version that they belong to when the newest one was asked for,
+    else NO_HEAD.
+    """
 
     compressed_by_hash: dict[str, bytes]
+    head: Head = NO_HEAD
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattanworks/tests/distribution/version_series_tests.py
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -3,9 +3,12 @@
 import unittest
 
 from rattanworks.distribution.configuration import Configuration
-from rattanworks.distribution.replicator import Replicator
+from rattanworks.distribution.keys import HEAD, blob_key
+from rattanworks.distribution.replicator import STORE_FALLBACK_SECONDS, Replicator
+from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_version
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
+from rattanworks.utils.codec import encode_json
 
 GAP_SECONDS = 0.55
 VERSIONS = 24
@@ -79,3 +82,61 @@
                 series.play()
                 self.assertEqual(series.configuration.head.version, VERSIONS)
                 self.assertLessEqual(series.longest_behind, IN_FORCE_SECONDS)
+
+
+class StoreInASeriesTests(unittest.TestCase):
+    """The store as a source, while no peer gives a version and new ones are announced.
+
+    The store keeps the content of its newest version only.
+    """
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.store = FakeStore()
+        self.configuration = Configuration()
+        self.replicator = Replicator(
+            self.configuration, FakeControlPeers({}), self.store, self.clock
+        )
+        self.head_revision = ABSENT
+        self.blob_entries = ()
+
+    def accept(self, number):
+        head, contents = build_version(number)
+        for entry in self.blob_entries:
+            self.store.delete(entry.key, entry.revision)
+        self.blob_entries = [
+            self.store.put(blob_key(hash), content, ABSENT)
+            for hash, content in contents.items()
+        ]
+        entry = self.store.put(HEAD, encode_json(head), self.head_revision)
+        self.head_revision = entry.revision
+        return head
+
+    def play(self, announce):
+        """Announce a version each GAP_SECONDS; return when the first one was there."""
+        for number in range(1, VERSIONS + 1):
+            announce(self.accept(number))
+            while (fetch := self.replicator.next_fetch()) is not None:
+                self.replicator.pull(*fetch)
+            if self.configuration.head.version:
+                return self.clock.time
+            self.clock.advance(GAP_SECONDS)
+        return None
+
+    def test_the_store_is_asked_after_its_time_though_new_versions_keep_coming(self):
+        came_at = self.play(lambda head: self.replicator.handle_peer_head(head, "p1"))
+        self.assertIsNotNone(came_at)
+        self.assertLessEqual(came_at, STORE_FALLBACK_SECONDS + GAP_SECONDS)
+
+    def test_new_versions_do_not_put_off_a_watcher_that_gives_peers_some_time(self):
+        delay = 1.5 * GAP_SECONDS
+        came_at = self.play(lambda head: self.replicator.handle_store_head(head, delay))
+        self.assertIsNotNone(came_at)
+        self.assertLessEqual(came_at, delay + GAP_SECONDS)
+
+    def test_a_version_that_the_store_has_replaced_brings_the_newest_one(self):
+        old = self.accept(1)
+        self.accept(2)
+        self.replicator.handle_store_head(old)
+        self.replicator.pull(*self.replicator.next_fetch())
+        self.assertEqual(self.configuration.head.version, 2)
