Repair lasting differences between neighbours although updates keep coming

Tables were compared row by row only when they had not changed for a second, and each update on a link put off the heartbeat that compares versions and digests. A lost update stayed lost for as long as nodes kept starting and stopping.

A heartbeat is now put off by three intervals at most, and a difference that lasts for 5 s is repaired in any case. Both tests failed before.

--- a/rattanworks/membership/gossip.py
+++ b/rattanworks/membership/gossip.py
@@ -27,6 +27,9 @@
 PEER_TIMEOUT_SECONDS = 1.0
 MIN_REFRESH_INTERVAL_SECONDS = 0.1
 MIN_STABLE_SECONDS = 1.0
+# A difference to a neighbour that lasts for so long is repaired although the tables
+# keep changing.
+MAX_DIFFERENCE_SECONDS = 5.0
 URGENT_STATES = (EndpointState.SERVING, EndpointState.LEAVING)
 TICK_INTERVAL_SECONDS = 0.9
 MAX_TICK_GAP_SECONDS = 2.5
@@ -66,6 +69,7 @@
         )
         self.links_by_node = {}
         self._reported_version_by_node = {}
+        self._differs_since_by_node = {}
         self.contacts = lambda: ()
         self._thread = threading.Thread(target=self._run, name="members", daemon=True)
         members.table.add_listener(self._add_records)
@@ -256,6 +260,7 @@
                 continue
             del self.links_by_node[node]
             self._reported_version_by_node.pop(node, None)
+            self._differs_since_by_node.pop(node, None)
             link.close()
             self._peers.forget(link.record.control_address)
         for node in wanted.keys() - self.links_by_node.keys():
@@ -314,7 +319,9 @@
         self._reported_version_by_node[record.node] = reply.version
         if reply.version != head.version:
             self._request(record, Gossip(own.node, own.control_address, head))
-        if reply.digest != self.digest:
+        if reply.digest == self.digest:
+            self._differs_since_by_node.pop(record.node, None)
+        elif self._is_repair_due(record.node):
             self._reconcile_with(record)
         return True
 
@@ -331,13 +338,23 @@
             self.on_head(reply.head, record.control_address)
         return reply
 
+    def _is_repair_due(self, node):
+        """Return whether to repair the difference to a neighbour now.
+
+        Updates in transit make digests differ for a moment, so that the tables should
+        not have changed for a while. Load pattern: nodes start and stop for minutes,
+        and the tables never stay as they are for that long.
+        """
+        now = self._clock.monotonic()
+        differs_since = self._differs_since_by_node.setdefault(node, now)
+        is_stable = now - self._changed_at >= MIN_STABLE_SECONDS
+        return is_stable or now - differs_since >= MAX_DIFFERENCE_SECONDS
+
     def _reconcile_with(self, record):
-        # Updates in transit make digests differ for a moment. Only a difference that
-        # remains when the tables have not changed for a while is repaired.
-        is_stable = self._clock.monotonic() - self._changed_at >= MIN_STABLE_SECONDS
-        if not is_stable or not self._sync_lock.acquire(blocking=False):
+        if not self._sync_lock.acquire(blocking=False):
             return
         try:
+            self._differs_since_by_node.pop(record.node, None)
             self.reconciler.reconcile(record.control_address)
         finally:
             self._sync_lock.release()
--- a/rattanworks/membership/links.py
+++ b/rattanworks/membership/links.py
@@ -15,6 +15,9 @@
 JITTER = (0.85, 1.15)
 FAILURES_PER_SLOWDOWN = 10
 MAX_SLOWDOWN = 5
+# Updates postpone heartbeats, which also compare versions and tables, by so many
+# intervals at most.
+MAX_POSTPONED_INTERVALS = 3
 
 
 class PendingUpdates:
@@ -50,7 +53,7 @@
     ``send_heartbeat(record)``, which return whether the neighbour answered.
     Heartbeats to a neighbour that does not answer are sent less often. A message
     from either side postpones the other side's heartbeat, so that one exchange
-    serves both.
+    serves both, but not for longer than MAX_POSTPONED_INTERVALS.
     """
 
     def __init__(self, record, exchange, heartbeat_seconds, rng=None):
@@ -64,6 +67,7 @@
         self._is_sending = False
         self._failures = 0
         self._heartbeat_due = time.monotonic()
+        self._heartbeat_sent_at = time.monotonic()
         self._pending_due = NEVER
         self._sent_at = -NEVER
         self._thread = threading.Thread(
@@ -156,15 +160,19 @@
             self._pending_due = 0.0 if self._pending else NEVER
             if batch:
                 self._sent_at = time.monotonic()
-        if batch:
-            is_answered = self._exchange.send_updates(self.record, batch)
-        else:
+        is_answered = not batch or self._exchange.send_updates(self.record, batch)
+        if not batch or (is_answered and self._is_heartbeat_overdue()):
+            self._heartbeat_sent_at = time.monotonic()
             is_answered = self._exchange.send_heartbeat(self.record)
         self._failures = 0 if is_answered else self._failures + 1
         self._schedule_heartbeat(
             min(MAX_SLOWDOWN, 1 + self._failures // FAILURES_PER_SLOWDOWN)
         )
 
+    def _is_heartbeat_overdue(self):
+        longest = MAX_POSTPONED_INTERVALS * self._heartbeat_seconds
+        return time.monotonic() - self._heartbeat_sent_at >= longest
+
 
 def _keep_newest(queued, name, row):
     # Threads that merge concurrently may offer their rows in any order.
--- a/rattanworks/tests/membership/links_tests.py
+++ b/rattanworks/tests/membership/links_tests.py
@@ -2,7 +2,11 @@
 import time
 import unittest
 
-from rattanworks.membership.gossip import Gossiper
+from rattanworks.membership.gossip import (
+    MAX_DIFFERENCE_SECONDS,
+    MIN_STABLE_SECONDS,
+    Gossiper,
+)
 from rattanworks.membership.links import (
     MAX_ROWS_IN_MESSAGE,
     SPACING_SECONDS,
@@ -10,7 +14,13 @@
     PendingUpdates,
 )
 from rattanworks.membership.members import Members
-from rattanworks.model.control import Gossip, SyncRequest
+from rattanworks.model.control import (
+    Gossip,
+    Heartbeat,
+    HeartbeatReply,
+    SyncReply,
+    SyncRequest,
+)
 from rattanworks.model.endpoint import EndpointState
 from rattanworks.model.version import NO_HEAD, Head
 from rattanworks.tests.builders import build_record
@@ -75,6 +85,18 @@
         elapsed = time.monotonic() - began
         self.assertLessEqual(len(self.exchange.sent), 2 + elapsed / SPACING_SECONDS)
 
+    def test_updates_without_a_pause_do_not_put_off_heartbeats(self):
+        """A heartbeat finds what an update that was lost has left different."""
+        link = PeerLink(build_record("peer"), self.exchange, 3 * SPACING_SECONDS)
+        self.addCleanup(link.close)
+        link.start()
+        self.assertTrue(self.exchange.wait(lambda: self.exchange.heartbeats))
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while self.exchange.heartbeats < 2 and time.monotonic() < deadline:
+            link.offer(records=[build_record("n1")])
+            time.sleep(0.005)
+        self.assertGreaterEqual(self.exchange.heartbeats, 2)
+
     def test_an_older_row_offered_later_does_not_replace_a_newer_one(self):
         self.link.offer(records=[build_record(incarnation=2)])
         self.link.offer(records=[build_record(state=EndpointState.GONE)])
@@ -136,6 +158,36 @@
         self.assertIn("new", members.by_node)
 
 
+class RepairTests(unittest.TestCase):
+    def test_a_difference_is_repaired_although_the_tables_keep_changing(self):
+        peer = build_record("peer", control_address="127.0.0.1:9")
+        clock, requests = FakeClock(), []
+
+        def serve(message):
+            requests.append(message)
+            if isinstance(message, Heartbeat):
+                return HeartbeatReply("peer", 1, 0, digest=1)
+            return SyncReply(NO_HEAD)
+
+        members = Members(build_record("own"))
+        gossiper = Gossiper(
+            members,
+            PrecedenceTable(lambda state: state.service),
+            Heads(),
+            FakeControlPeers({peer.control_address: serve}),
+            clock,
+            SETTINGS,
+        )
+        self.addCleanup(gossiper.detector.stop)
+        while clock.time < 2 * MAX_DIFFERENCE_SECONDS:
+            members.table.merge((build_record(f"n-{clock.time}"),))
+            gossiper.send_heartbeat(peer)
+            clock.advance(MIN_STABLE_SECONDS / 2)
+        kinds = [type(message) for message in requests]
+        self.assertIn(SyncRequest, kinds)
+        self.assertLessEqual(kinds.count(SyncRequest), 2)
+
+
 class AfterPauseTests(unittest.TestCase):
     def setUp(self):
         self.mesh = Mesh(["a1", "b1"])
