--- /dev/null
+++ b/rattanworks/tests/platform/server_notices_tests.py
@@ -0,0 +1,142 @@
+"""What a backend server says of itself with its answers: its limit, its leaving."""
+
+import threading
+import time
+import types
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from rattanworks.adapters.system_clock import SystemClock
+from rattanworks.admission.limits import PlanLimits
+from rattanworks.admission.owner import Owner
+from rattanworks.membership.members import Members
+from rattanworks.model.call import Outcome
+from rattanworks.model.endpoint import EndpointState
+from rattanworks.model.route import RouteKind
+from rattanworks.platform.backend import PlatformBackendServer
+from rattanworks.routing.table import RoutingTables
+from rattanworks.tests.builders import (
+    build_announcement,
+    build_call,
+    build_lists,
+    build_record,
+)
+from rattanworks.utils.precedence_table import PrecedenceTable
+
+LIMIT = 2.0
+WINDOW_SECONDS = 4.0
+# What the platform allows in WINDOW_SECONDS.
+ALLOWED = 1.5 * LIMIT * WINDOW_SECONDS + 5
+THREADS = 4
+CALLS = 40
+
+
+class NoticingServer(ThreadingHTTPServer):
+    """A backend server whose answers carry the headers in ``notices``."""
+
+    daemon_threads = True
+
+    def __init__(self, notices):
+        self.notices = notices
+        self.arrivals = []
+        self._lock = threading.Lock()
+        super().__init__(("127.0.0.1", 0), _Handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        return "{}:{}".format(*self.server_address)
+
+    def record_arrival(self):
+        with self._lock:
+            self.arrivals.append(time.monotonic())
+
+    def close(self):
+        self.shutdown()
+        self.server_close()
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        self.server.record_arrival()
+        self.send_response(200)
+        self.send_header("Content-Length", "2")
+        self.send_header("X-Request-Id", self.headers["X-Request-Id"])
+        self.send_header("X-Server-Signature", "3e1b.07")
+        for name, value in self.server.notices:
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(b"ok")
+
+    def log_message(self, *arguments):
+        """Keep the output of the tests free of access lines."""
+
+
+class ServerNoticesTestCase(unittest.TestCase):
+    def start(self, *notices):
+        self.server = NoticingServer(notices)
+        self.addCleanup(self.server.close)
+        self.members = Members(build_record(state=EndpointState.JOINED))
+        configuration = types.SimpleNamespace(
+            snapshot=types.SimpleNamespace(lists=build_lists()),
+            add_listener=lambda listener: None,
+        )
+        services = PrecedenceTable(lambda state: state.service)
+        clock = SystemClock()
+        self.owner = Owner(
+            self.members,
+            RoutingTables(configuration, self.members, services),
+            PlanLimits(clock),
+            clock,
+            4,
+        )
+        backend = PlatformBackendServer(self.server.address, 8, "i-7", clock)
+        self.addCleanup(backend.close)
+        self.announcement = build_announcement(
+            address=self.server.address, slots=4, heartbeat_seconds=1.0
+        )
+        self.owner.attach(backend, self.announcement)
+
+    def dispatch(self, seconds=0.9):
+        own = self.members.own
+        call = build_call(
+            kind=RouteKind.IDEMPOTENT,
+            customer="",
+            deadline=time.monotonic() + seconds,
+        )
+        return self.owner.dispatch(call, own.node, own.incarnation)
+
+
+class ServerLimitTests(ServerNoticesTestCase):
+    def most_arrivals(self):
+        times = self.server.arrivals
+        return max(
+            sum(start <= moment < start + WINDOW_SECONDS for moment in times)
+            for start in times
+        )
+
+    def test_a_server_gets_no_more_calls_than_the_limit_that_it_names(self):
+        self.start(("Server-Limit", str(LIMIT)))
+        self.assertEqual(self.dispatch().status, 200)
+        with ThreadPoolExecutor(THREADS) as executor:
+            answers = list(executor.map(lambda _: self.dispatch(), range(CALLS)))
+        self.assertLessEqual(self.most_arrivals(), ALLOWED)
+        refused = [answer for answer in answers if answer.status != 200]
+        self.assertEqual({answer.outcome for answer in refused}, {Outcome.NOT_RUN})
+        self.assertTrue(all(answer.retry_after for answer in refused))
+
+
+class ServerLeavingTests(ServerNoticesTestCase):
+    def test_a_server_that_says_it_leaves_gets_no_more_calls(self):
+        self.start(("Server-Leaving", "1"))
+        self.assertEqual(self.dispatch().status, 200)
+        refused = self.dispatch()
+        self.assertEqual((refused.status, refused.outcome), (503, Outcome.NOT_RUN))
+        self.assertEqual(len(self.server.arrivals), 1)
+        self.assertEqual(self.members.own.state, EndpointState.LEAVING)
+        # Its heartbeats may go on for a while and say nothing of it.
+        self.owner.renew(self.announcement)
+        self.assertEqual(self.dispatch().outcome, Outcome.NOT_RUN)
