Keep to the limit that a backend server names

Cause: nothing read Server-Limit. The owner sends all calls to its backend server, of all entries, chains and repeats included, so it alone can keep the limit exactly.

Change: the adapter reads the header into a notice of the answer; the queue before the slots starts calls at that rate at most (a generic cell rate algorithm, pure), waits and refusals take it into account, a refusal says when to return by it, and the load is that of a server with as many slots as the rate keeps busy, so that entries send elsewhere. Answers arrive out of order: the limit holds for a second after the last answer that named it, and for the run of the server that named it, also with another queue. What cannot be read is logged and has no effect. Logs, a gauge and the way from an id have it.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -73,6 +73,11 @@
         """Return the number of calls running on the backend server."""
         return self._slot_queue.running if self._slot_queue else 0
 
+    @property
+    def limit(self):
+        """Return the calls a second that the backend server takes, None if unnamed."""
+        return self._slot_queue.limit.calls_per_second if self._slot_queue else None
+
     @property
     def waiting(self):
         """Return the number of calls in the queue."""
@@ -101,6 +106,7 @@
                     announcement.slots,
                     self._max_queue_length(announcement.slots),
                     self._clock,
+                    self._limit_of(announcement),
                 )
             self._backend = backend
             self._announcement = announcement
@@ -113,6 +119,13 @@
         if old_backend is not None:
             old_backend.close()
 
+    def _limit_of(self, announcement):
+        """Return the limit that this run of the server has named, None for another."""
+        known = self._announcement
+        if known is None or known.identity != announcement.identity:
+            return None
+        return self._slot_queue.limit
+
     def _max_queue_length(self, slots):
         """Return how many calls may wait for a number of slots.
 
@@ -236,6 +249,7 @@
                 verdict=admission.result.name.lower(),
                 running=slot_queue.running,
                 waiting=slot_queue.waiting,
+                limit=slot_queue.limit.calls_per_second,
                 retry_after=round(admission.retry_after, 3),
             )
             load = slot_queue.load_ahead(rank, arrived_at)
@@ -300,8 +314,27 @@
         except CallOutcomeUnknownError as error:
             return unknown_outcome(error.status, str(error))
         self._consecutive_send_failures = 0
+        if answer.notice is not None:
+            self._apply_notice(backend, answer.notice, call.request_id)
         return _with_retry_after(replace(answer, is_offered=True))
 
+    def _apply_notice(self, backend, notice, request_id):
+        with self._lock:
+            if backend is not self._backend:
+                return
+            slot_queue, address = self._slot_queue, self._announcement.address
+        if not notice.is_limit_readable:
+            return
+        previous = slot_queue.limit.calls_per_second
+        if slot_queue.update_limit(notice.calls_per_second):
+            log_event(
+                "backend-limit",
+                address=address,
+                request_id=request_id,
+                previous=previous,
+                calls_per_second=slot_queue.limit.calls_per_second,
+            )
+
     def _handle_replaced_server(self, backend):
         if backend is self._backend:
             log_event("backend-replaced", address=self._announcement.address)
--- a/rattanworks/model/call.py
+++ b/rattanworks/model/call.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from rattanworks.model.notice import ServerNotice
 from rattanworks.model.route import RouteKind
 
 Headers = tuple[tuple[str, str], ...]
@@ -116,7 +117,8 @@
     ``load`` is the fraction of the owner's slots that a similar call would now find
     occupied, above 1 when calls would be ahead of it in the queue. ``retry_after``
     is in seconds, 0 for none. ``is_offered`` is set when the call was sent to a
-    backend server, whatever the result.
+    backend server, whatever the result. ``notice`` is for the node beside the backend
+    server, None without one.
     """
 
     status: int
@@ -127,6 +129,7 @@
     retry_after: float = 0.0
     reason: str = ""
     is_offered: bool = False
+    notice: ServerNotice | None = None
 
 
 def refusal(status, reason, retry_after=0.0, load=0.0):
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -87,6 +87,10 @@
             "Running and waiting calls as a fraction of the slots",
             lambda: owner.load,
         ),
+        "rattanworks_backend_limit": (
+            "Calls a second that the backend server says it takes, 0 if it names none",
+            lambda: owner.limit or 0.0,
+        ),
         "rattanworks_running_moves": (
             "Moves that run, as far as this node knows",
             lambda: _count_running_moves(node.services),
--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -16,6 +16,7 @@
     REQUEST_ID,
     SIGNATURE,
 )
+from rattanworks.platform.notices import read_notice
 from rattanworks.ports.base import BackendServer
 from rattanworks.utils.headers import answer_headers
 from rattanworks.utils.http_connection import RequestOptions
@@ -80,6 +81,7 @@
             headers=answer_headers(answer.headers, is_head=call.method == "HEAD"),
             body=answer.body,
             outcome=Outcome.NOT_RUN if is_not_run else Outcome.DONE,
+            notice=read_notice(answer.headers, self._pool.address),
         )
 
     def cancel(self, request_id):
--- a/rattanworks/platform/names.py
+++ b/rattanworks/platform/names.py
@@ -13,6 +13,8 @@
 NOT_EXECUTED = "X-Not-Executed"
 # In an answer: proves which backend server made it, and from which body.
 SIGNATURE = "X-Server-Signature"
+# In an answer: the calls a second that the backend server takes from all hosts.
+SERVER_LIMIT = "Server-Limit"
 
 READY_PATH = "/rattanworks/ready"
 INSTANCES_PATH = "/rattanworks/instances/"
--- a/rattanworks/tests/admission/slots_tests.py
+++ b/rattanworks/tests/admission/slots_tests.py
@@ -1,9 +1,11 @@
 """Slots, the order of the queue and immediate refusals."""
 
 import threading
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
+from rattanworks.adapters.system_clock import SystemClock
 from rattanworks.admission.call_queue import AdmissionResult
 from rattanworks.admission.slots import SlotQueue
 from rattanworks.admission.waiting import Rank
@@ -148,3 +150,20 @@
         list(self.executor.map(work, range(400)))
         self.assertLessEqual(peak, 3)
         self.assertEqual((queue.running, queue.waiting), (0, 0))
+
+
+class LimitedSlotQueueTests(unittest.TestCase):
+    def test_a_call_that_waits_for_a_slot_starts_when_a_new_limit_lets_it(self):
+        queue = SlotQueue(1, 2, SystemClock())
+        self.addCleanup(queue.close)
+        far = time.monotonic() + FAR_DEADLINE
+        with ThreadPoolExecutor(1) as executor:
+            queue.update_limit(20.0)
+            held = [queue.acquire(rank(deadline=far))]
+            future = executor.submit(queue.acquire, rank(deadline=far))
+            wait_until(lambda: queue.waiting, LIMIT_SECONDS, "queued")
+            # The calls of the burst are used up before the slot is free.
+            while not queue.limit.wait_seconds(time.monotonic()):
+                queue.limit.take(time.monotonic())
+            queue.release(held[0])
+            self.assertTrue(future.result(LIMIT_SECONDS).is_granted)
