Withdraw a backend server that says in an answer that it leaves

Nothing read Server-Leaving: a server that the node had not heard leave by a report, because the report was late or lost, got calls for as long as its heartbeats went on.

The notice of an answer now withdraws the server as its own report does: no new calls, waiting calls are refused as not run, heartbeats of the same start do not bring it back, another start does. A late answer of an earlier start says nothing of the present one. Also here: a test that a server keeps its limit over a silence.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -177,12 +177,15 @@
 
     def _withdraw(self):
         with self._lock:
-            if self._members.own.state < EndpointState.LEAVING:
-                self._members.update_own(state=EndpointState.LEAVING)
+            self._set_leaving()
             slot_queue = self._slot_queue
         if slot_queue is not None:
             slot_queue.close()
 
+    def _set_leaving(self):
+        if self._members.own.state < EndpointState.LEAVING:
+            self._members.update_own(state=EndpointState.LEAVING)
+
     def stop(self):
         """Leave permanently: the node stops; later announcements are ignored."""
         self._is_stopping = True
@@ -256,6 +259,8 @@
             return self._refusal(call, admission, is_beyond_plan, load)
         try:
             answer = self._run_observed(call, backend, time_left)
+            if answer.notice is not None:
+                self._apply_notice(slot_queue, answer.notice, call.request_id)
         finally:
             slot_queue.release(admission)
         return replace(answer, load=slot_queue.load_ahead(rank, arrived_at))
@@ -314,22 +319,30 @@
         except CallOutcomeUnknownError as error:
             return unknown_outcome(error.status, str(error))
         self._consecutive_send_failures = 0
-        if answer.notice is not None:
-            self._apply_notice(backend, answer.notice, call.request_id)
         return _with_retry_after(replace(answer, is_offered=True))
 
-    def _apply_notice(self, backend, notice, request_id):
+    def _apply_notice(self, slot_queue, notice, request_id):
         with self._lock:
-            if backend is not self._backend:
+            # A run of the server keeps its limit, also with another queue.
+            if slot_queue.limit is not self._slot_queue.limit:
                 return
-            slot_queue, address = self._slot_queue, self._announcement.address
+            slot_queue, announcement = self._slot_queue, self._announcement
+            is_new = announcement.identity != self._left_identity
+            if notice.is_leaving and is_new:
+                self._left_identity = announcement.identity
+                self._set_leaving()
+        if notice.is_leaving and is_new:
+            log_event(
+                "backend-leaving", address=announcement.address, request_id=request_id
+            )
+            slot_queue.close()
         if not notice.is_limit_readable:
             return
         previous = slot_queue.limit.calls_per_second
         if slot_queue.update_limit(notice.calls_per_second):
             log_event(
                 "backend-limit",
-                address=address,
+                address=announcement.address,
                 request_id=request_id,
                 previous=previous,
                 calls_per_second=slot_queue.limit.calls_per_second,
--- a/rattanworks/platform/names.py
+++ b/rattanworks/platform/names.py
@@ -15,6 +15,8 @@
 SIGNATURE = "X-Server-Signature"
 # In an answer: the calls a second that the backend server takes from all hosts.
 SERVER_LIMIT = "Server-Limit"
+# In an answer: the backend server is about to stop.
+SERVER_LEAVING = "Server-Leaving"
 
 READY_PATH = "/rattanworks/ready"
 INSTANCES_PATH = "/rattanworks/instances/"
--- a/rattanworks/tests/platform/notices_tests.py
+++ b/rattanworks/tests/platform/notices_tests.py
@@ -37,3 +37,23 @@
         ):
             with self.subTest(values):
                 self.assertFalse(read_limit(*values).is_limit_readable)
+
+
+class LeavingTests(unittest.TestCase):
+    def read(self, *values):
+        headers = [("Server-Leaving", value) for value in values]
+        return read_notice(headers, ADDRESS).is_leaving
+
+    def test_only_the_value_that_says_so_means_that_the_server_leaves(self):
+        self.assertFalse(self.read())
+        self.assertTrue(self.read("1"))
+        self.assertTrue(self.read("1", " 1 "))
+        for values in (("0",), ("",), ("true",), ("1, 0",), ("1", "0")):
+            with self.subTest(values):
+                self.assertFalse(self.read(*values))
+
+    def test_both_headers_are_read_apart(self):
+        headers = [("Server-Leaving", "1"), ("Server-Limit", "-3")]
+        notice = read_notice(headers, ADDRESS)
+        self.assertTrue(notice.is_leaving)
+        self.assertFalse(notice.is_limit_readable)
--- a/rattanworks/tests/platform/server_notices_tests.py
+++ b/rattanworks/tests/platform/server_notices_tests.py
@@ -10,6 +10,7 @@
 from rattanworks.adapters.system_clock import SystemClock
 from rattanworks.admission.limits import PlanLimits
 from rattanworks.admission.owner import Owner
+from rattanworks.bench.fleet import wait_until
 from rattanworks.membership.members import Members
 from rattanworks.model.call import Outcome
 from rattanworks.model.endpoint import EndpointState
@@ -29,6 +30,7 @@
 # What the platform allows in WINDOW_SECONDS.
 ALLOWED = 1.5 * LIMIT * WINDOW_SECONDS + 5
 THREADS = 4
+LIMIT_SECONDS = 30.0
 CALLS = 40
 
 
@@ -40,6 +42,8 @@
     def __init__(self, notices):
         self.notices = notices
         self.arrivals = []
+        self.hold = threading.Event()
+        self.hold.set()
         self._lock = threading.Lock()
         super().__init__(("127.0.0.1", 0), _Handler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
@@ -62,6 +66,7 @@
 
     def do_GET(self):
         self.server.record_arrival()
+        self.server.hold.wait(LIMIT_SECONDS)
         self.send_response(200)
         self.send_header("Content-Length", "2")
         self.send_header("X-Request-Id", self.headers["X-Request-Id"])
@@ -93,10 +98,17 @@
             clock,
             4,
         )
-        backend = PlatformBackendServer(self.server.address, 8, "i-7", clock)
+        self.clock = clock
+        self.announce()
+
+    def announce(self, started_at=1):
+        backend = PlatformBackendServer(self.server.address, 8, "i-7", self.clock)
         self.addCleanup(backend.close)
         self.announcement = build_announcement(
-            address=self.server.address, slots=4, heartbeat_seconds=1.0
+            address=self.server.address,
+            slots=4,
+            heartbeat_seconds=1.0,
+            started_at=started_at,
         )
         self.owner.attach(backend, self.announcement)
 
@@ -140,3 +152,33 @@
         # Its heartbeats may go on for a while and say nothing of it.
         self.owner.renew(self.announcement)
         self.assertEqual(self.dispatch().outcome, Outcome.NOT_RUN)
+
+    def test_another_start_of_a_server_that_left_gets_calls_again(self):
+        self.start(("Server-Leaving", "1"))
+        self.dispatch()
+        self.server.notices = ()
+        self.announce(started_at=2)
+        self.assertEqual(self.dispatch().status, 200)
+
+    def test_a_late_answer_of_an_earlier_start_says_nothing_of_the_present_one(self):
+        release = threading.Event()
+        self.addCleanup(release.set)
+        self.start(("Server-Leaving", "1"), ("Server-Limit", "0"))
+        self.server.hold = release
+        with ThreadPoolExecutor(1) as executor:
+            late = executor.submit(self.dispatch, LIMIT_SECONDS)
+            wait_until(lambda: self.server.arrivals, LIMIT_SECONDS, "at the server")
+            self.announce(started_at=2)
+            release.set()
+            self.assertEqual(late.result().status, 200)
+        self.assertEqual(self.members.own.state, EndpointState.SERVING)
+        self.assertIsNone(self.owner.limit)
+
+    def test_a_server_that_was_silent_for_a_while_keeps_its_limit(self):
+        self.start(("Server-Limit", str(LIMIT)))
+        self.dispatch()
+        while self.members.own.state == EndpointState.SERVING:
+            self.owner.check_heartbeat(1.0)
+        self.announce()
+        self.assertEqual(self.members.own.state, EndpointState.SERVING)
+        self.assertEqual(self.owner.limit, LIMIT)
