Keep a connection that was just opened in a planned stop until its first request

What callers saw: a call on a new connection to a stopping node ended with a closed or reset connection and no answer.

Cause: a stop closes idle connections that were opened before the time until which every call is accepted. It begins to do so when it sees no connection at all, which may be before that time; every connection opened since then counts as opened before it, and was closed if its first request was not there yet.

Ruled out: the backlog at the end of listening, requests read and dropped.

Change: no idle connection is closed before that time, and none that has been open for less than a second.

--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -287,7 +287,8 @@
         callers = servers["callers"]
         quiet_since = time.monotonic()
         while time.monotonic() < plan.cut_calls_at:
-            callers.close_idle_connections(plan.accept_all_until)
+            if time.monotonic() >= plan.accept_all_until:
+                callers.close_idle_connections(plan.accept_all_until)
             # Entries that do not know of the stop yet still send calls. A quiet
             # period indicates that all of them know.
             if not all(servers[name].is_idle for name in INTERNAL_LISTENERS):
--- a/rattanworks/tests/platform/planned_stops_tests.py
+++ b/rattanworks/tests/platform/planned_stops_tests.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from rattanworks.model.endpoint import EndpointState
 from rattanworks.node import stopping
 from rattanworks.node.stopping import STOP_NOTICE_SECONDS, plan_stop
 from rattanworks.tests.platform.session import (
@@ -14,6 +15,7 @@
     Session,
     bring_up,
 )
+from rattanworks.utils import http_server
 
 
 class PlannedStopTests(unittest.TestCase):
@@ -62,6 +64,36 @@
         self.assertEqual(statuses, {200, 503})
         self.assertTrue(stopper.is_alive())
 
+    def test_a_connection_opened_in_a_stop_is_not_closed_before_its_first_request(self):
+        self.enterContext(
+            mock.patch.object(
+                http_server, "FIRST_REQUEST_SECONDS", WAIT_SECONDS, create=True
+            )
+        )
+        session = Session(self, grace="20s")
+        bring_up(self, session)
+        callers = session.daemon.node.servers_by_listener["callers"]
+        members = session.daemon.node.members
+        stopper = threading.Thread(target=session.stop)
+        stopper.start()
+        self.addCleanup(stopper.join, WAIT_SECONDS)
+        # From then on the stop closes idle connections: none is open at first.
+        self.assertTrue(
+            session.wait(lambda: members.own.state == EndpointState.LEAVING)
+        )
+        self.assertFalse(callers.has_connections)
+        for _ in range(3):
+            connection = http.client.HTTPConnection(
+                session.addresses["callers"], timeout=CALLER_SECONDS
+            )
+            self.addCleanup(connection.close)
+            connection.connect()
+            for _ in range(10):
+                session.pause()
+            headers = {"Host": "shop.example", "X-Request-Deadline": "1000"}
+            connection.request("GET", "/lookup/1", headers=headers)
+            self.assertIn(connection.getresponse().status, (200, 503))
+
     def seconds_until_cut(self, grace_seconds):
         session = Session(self, f"{grace_seconds}s")
         bring_up(self, session)
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -19,6 +19,9 @@
 CLEANUP_SECONDS = 1
 # Waitress measures idle time by the wall clock, which may jump by seconds.
 CLOCK_STEP_SECONDS = 5.0
+# An idle connection is closed only when it has been open for this long: before that,
+# its first request may be on the way.
+FIRST_REQUEST_SECONDS = 1.0
 STOP_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.005
 
@@ -144,13 +147,15 @@
     def close_idle_connections(self, opened_before=math.inf):
         """Close the connections on which no request runs, arrives or is answered.
 
-        Connections opened later than the monotonic time ``opened_before`` stay,
-        since their first request may be on the way. The work runs on the thread
-        that reads, so a request is either answered or never read.
+        Connections opened later than the monotonic time ``opened_before``, or less
+        than FIRST_REQUEST_SECONDS ago, stay, since their first request may be on the
+        way. The work runs on the thread that reads, so a request is either answered
+        or never read.
         """
         self._server.trigger.pull_trigger(lambda: self._close_idle(opened_before))
 
     def _close_idle(self, opened_before):
+        opened_before = min(opened_before, time.monotonic() - FIRST_REQUEST_SECONDS)
         for channel in list(self._server.active_channels.values()):
             is_old = channel.opened_at < opened_before
             # Closing a connection with unread input would reset it.
