Ask another source beside one that does not answer

A second source is asked when the first has not answered for 0.3 s; two at most at a time. A fetch that the other one has overtaken ends after its first exchange. Both tests failed before, or have no counterpart there.

--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -1,5 +1,6 @@
 """Fetches versions that peers or the store announce, and serves them to peers."""
 
+import math
 import random
 import threading
 
@@ -7,7 +8,9 @@
 from rattanworks.distribution.content import decode_manifest, verify_blob
 from rattanworks.distribution.sources import (
     KNOWN_HASH_DIGITS,
+    MAX_FETCHES,
     PeerSource,
+    RunningFetches,
     SourceQueue,
     StoreSource,
 )
@@ -33,7 +36,8 @@
 
     A source gives the newest version that it has, of which only the blobs that the
     node lacks are fetched. A source that fails is retried after a jittered delay, and
-    the others are tried meanwhile. When a version has been missing for
+    the others are tried meanwhile; beside one that is slow to answer, another is asked.
+    When a version has been missing for
     STORE_FALLBACK_SECONDS, the store is added as a source. Newer announcements restart
     neither a fetch nor these times. ``on_refused`` is called when a version fails
     validation on this node, which can still serve its blobs to peers.
@@ -49,11 +53,13 @@
         self.announcements = Announcements(clock)
         self._changed = threading.Condition()
         self._sources = SourceQueue()
+        self._running = RunningFetches()
         self._is_stopped = False
         self.on_refused = lambda: None
-        self._thread = threading.Thread(
-            target=self._run, name="replicator", daemon=True
-        )
+        self._threads = [
+            threading.Thread(target=self._run, name=f"replicator-{number}", daemon=True)
+            for number in range(MAX_FETCHES)
+        ]
 
     @property
     def head(self):
@@ -61,11 +67,12 @@
         return self._configuration.held.head
 
     def start(self):
-        """Start the thread that fetches announced versions."""
-        self._thread.start()
+        """Start the threads that fetch announced versions."""
+        for thread in self._threads:
+            thread.start()
 
     def stop(self):
-        """Stop the thread without waiting for a running fetch."""
+        """Stop the threads without waiting for a running fetch."""
         with self._changed:
             self._is_stopped = True
             self._changed.notify_all()
@@ -116,38 +123,58 @@
         with self._changed:
             fetch = self.next_fetch()
             if fetch is None and not self._is_stopped:
-                due = self._next_due()
-                timeout = None if due is None else due - self._clock.monotonic()
-                self._changed.wait(timeout if timeout is None else max(0.0, timeout))
+                timeout = self._next_due() - self._clock.monotonic()
+                is_finite = timeout < math.inf
+                self._changed.wait(max(0.0, timeout) if is_finite else None)
             return fetch
 
     def _next_due(self):
-        times = [self._sources.next_due()]
+        """Return the time at which to look for a fetch, infinity without one."""
+        times = [self._sources.next_due(self._running.names)]
         if self._store_source not in self._sources:
             times.append(self._store_due())
-        return min((due for due in times if due is not None), default=None)
+        due = min((due for due in times if due is not None), default=math.inf)
+        return max(due, self._running.next_start)
 
     def _store_due(self):
         behind_since = self.announcements.behind_since
         return None if behind_since is None else behind_since + STORE_FALLBACK_SECONDS
 
     def next_fetch(self):
-        """Return an announced head and the source to try now, or None."""
+        """Return an announced head and the source to try now, or None.
+
+        The caller passes both to ``pull``.
+        """
         # An announcement may have been recorded while its version came into force.
         self._settle(self._configuration.head)
         now = self._clock.monotonic()
         store_due = self._store_due()
         if store_due is not None and store_due <= now:
             self._sources.add(self._store_source, self.announcements.newest, now)
-        return self._sources.find_due(now)
+        if now < self._running.next_start:
+            return None
+        fetch = self._sources.find_due(now, self._running.names)
+        if fetch is not None:
+            self._running.begin(fetch[1], now)
+        return fetch
 
     def pull(self, head, source):
         """Fetch ``head`` or a newer version from a source and put it in force."""
+        try:
+            self._pull(head, source)
+        finally:
+            with self._changed:
+                self._running.end(source)
+                self._changed.notify_all()
+
+    def _pull(self, head, source):
         started_at = self._clock.monotonic()
         try:
-            head, contents = self._fetch(head, source)
-            self._log_fetched(head, source, started_at)
-            self._configuration.put_in_force(head, contents)
+            fetched = self._fetch(head, source)
+            if fetched is not None:
+                head, contents = fetched
+                self._log_fetched(head, source, started_at)
+                self._configuration.put_in_force(head, contents)
         except BlobUnusableError as error:
             self._record_failure(head, source, started_at, error)
         except VersionRefusedError:
@@ -209,13 +236,19 @@
             self._add_source(parent, self._store_source)
 
     def _fetch(self, head, source):
-        """Return the head of the version fetched and its blobs that were missing."""
+        """Return the head of the version fetched and all its blobs by hash.
+
+        The held ones are included, as another fetch may replace them meanwhile. Returns
+        None if another fetch has put a version in force that is as new.
+        """
         held = self._configuration.held.content_by_hash
         newest, fetched = source.fetch_newest(head, held)
         for hash, content in fetched.items():
             verify_blob(content, hash)
         if self._configuration.is_update(newest):
             head = newest
+        elif not self._configuration.is_update(head):
+            return None
         if head.manifest_hash not in fetched:
             fetched = {**fetched, **_fetch_all(source, [head.manifest_hash])}
         manifest = decode_manifest(fetched[head.manifest_hash], head.manifest_hash)
@@ -226,7 +259,7 @@
         ]
         if missing:
             fetched = {**fetched, **_fetch_all(source, missing)}
-        return head, fetched
+        return head, {**held, **fetched}
 
 
 def _compressed(content_by_hash, hashes):
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -1,5 +1,6 @@
 """Sources that a version's blobs can be fetched from, and their retry times."""
 
+import math
 from dataclasses import dataclass
 
 from rattanworks.distribution.archive import decode_head
@@ -16,6 +17,9 @@
 RETRY_BASE_SECONDS = 0.2
 RETRY_CAP_SECONDS = 2.0
 MAX_SOURCES = 8
+# When a source has not answered for this long, another is asked beside it.
+SLOW_FETCH_SECONDS = 0.3
+MAX_FETCHES = 2
 # Digits by which a node names a hash that it knows: 64 bits are enough to tell the
 # few hundred blobs of a version apart.
 KNOWN_HASH_DIGITS = 16
@@ -151,16 +155,29 @@
             if candidate.head.version > version
         }
 
-    def next_due(self):
-        """Return the time at which the next source is due, or None if there is none."""
+    def next_due(self, busy=()):
+        """Return the time at which the next source is due, or None if there is none.
+
+        Sources whose names are in ``busy`` are left out.
+        """
         return min(
-            (candidate.due for candidate in self._candidates_by_name.values()),
+            (candidate.due for candidate in self._candidates_without(busy)),
             default=None,
         )
 
-    def find_due(self, now):
-        """Return the head and the source that has been due longest, or None."""
-        candidates = list(self._candidates_by_name.values())
+    def _candidates_without(self, busy):
+        return [
+            candidate
+            for name, candidate in self._candidates_by_name.items()
+            if name not in busy
+        ]
+
+    def find_due(self, now, busy=()):
+        """Return the head and the source that has been due longest, or None.
+
+        Sources whose names are in ``busy`` are left out.
+        """
+        candidates = self._candidates_without(busy)
         due = [candidate for candidate in candidates if candidate.due <= now]
         if not due:
             return None
@@ -172,3 +189,39 @@
         candidate = self._candidates_by_name.get(source.name)
         if candidate is not None:
             candidate.due = now + candidate.backoff.next_delay()
+
+
+class RunningFetches:
+    """The sources that are being asked, and when another may be asked beside them.
+
+    Load pattern: a host dies or is suspended right after it has announced a version.
+    Nodes that learned of the version from it would wait for the whole timeout, and
+    again at each further hop, before they ask another source. Times are in seconds of a
+    monotonic clock.
+    """
+
+    def __init__(self):
+        self._started_at_by_name = {}
+
+    @property
+    def names(self):
+        """Return the names of the sources that are being asked."""
+        return self._started_at_by_name.keys()
+
+    @property
+    def next_start(self):
+        """Return the time from which another source may be asked."""
+        started_at_by_name = self._started_at_by_name
+        if not started_at_by_name:
+            return -math.inf
+        if len(started_at_by_name) >= MAX_FETCHES:
+            return math.inf
+        return max(started_at_by_name.values()) + SLOW_FETCH_SECONDS
+
+    def begin(self, source, now):
+        """Record that a source is asked."""
+        self._started_at_by_name[source.name] = now
+
+    def end(self, source):
+        """Record that a source has answered or failed."""
+        self._started_at_by_name.pop(source.name, None)
--- a/rattanworks/tests/distribution/version_series_tests.py
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -1,10 +1,15 @@
 """Versions that are accepted faster than one node can fetch them."""
 
+import threading
 import unittest
 
+from rattanworks.adapters.system_clock import SystemClock
+from rattanworks.bench.fleet import wait_until
 from rattanworks.distribution.configuration import Configuration
 from rattanworks.distribution.keys import HEAD, blob_key
 from rattanworks.distribution.replicator import STORE_FALLBACK_SECONDS, Replicator
+from rattanworks.exceptions import PeerUnavailableError
+from rattanworks.model.control import FetchReply
 from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_version
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
@@ -15,6 +20,7 @@
 PEERS = ("p1", "p2")
 # The tightest bound that a deployment of the users sets for a version to be in force.
 IN_FORCE_SECONDS = 2.0
+WAIT_SECONDS = 20.0
 
 
 class Series:
@@ -140,3 +146,46 @@
         self.replicator.handle_store_head(old)
         self.replicator.pull(*self.replicator.next_fetch())
         self.assertEqual(self.configuration.head.version, 2)
+
+
+class SilentSourceTests(unittest.TestCase):
+    def test_a_source_that_does_not_answer_does_not_hold_up_the_others(self):
+        head, contents = build_version(1)
+        holder = Configuration()
+        holder.put_in_force(head, contents)
+        peer = Replicator(holder, FakeControlPeers({}), FakeStore(), SystemClock())
+        release, is_asked = threading.Event(), threading.Event()
+        self.addCleanup(release.set)
+
+        def be_silent(message):
+            is_asked.set()
+            release.wait(3 * WAIT_SECONDS)
+            raise PeerUnavailableError("silent; ask another peer")
+
+        configuration = Configuration()
+        peers = FakeControlPeers({"silent": be_silent, "sound": peer.serve})
+        replicator = Replicator(configuration, peers, FakeStore(), SystemClock())
+        replicator.start()
+        self.addCleanup(replicator.stop)
+        replicator.handle_peer_head(head, "silent")
+        self.assertTrue(is_asked.wait(WAIT_SECONDS))
+        replicator.handle_peer_head(head, "sound")
+        wait_until(lambda: configuration.head == head, WAIT_SECONDS, "in force")
+        self.assertFalse(release.is_set())
+
+    def test_a_fetch_that_another_one_has_overtaken_asks_for_nothing_more(self):
+        head, contents = build_version(1)
+        configuration = Configuration()
+        requests = []
+
+        def serve(message):
+            requests.append(message)
+            configuration.put_in_force(head, contents)
+            return FetchReply({}, head)
+
+        peers = FakeControlPeers({"p1": serve})
+        replicator = Replicator(configuration, peers, FakeStore(), FakeClock())
+        replicator.handle_peer_head(head, "p1")
+        replicator.pull(*replicator.next_fetch())
+        self.assertEqual(len(requests), 1)
+        self.assertIsNone(replicator.next_fetch())
