--- a/rattanworks/admission/call_queue.py
+++ b/rattanworks/admission/call_queue.py
@@ -16,6 +16,7 @@
 # Weight of one call in the mean time for which calls hold a slot.
 HOLD_SAMPLE_WEIGHT = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.05
+# Slots that a server counts for at least, however low its limit.
 MIN_CAPACITY = 0.1
 
 
--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -37,10 +37,10 @@
     A source gives the newest version that it has, of which only the blobs that the
     node lacks are fetched. A source that fails is retried after a jittered delay, and
     the others are tried meanwhile; beside one that is slow to answer, another is asked.
-    When a version has been missing for
-    STORE_FALLBACK_SECONDS, the store is added as a source. Newer announcements restart
-    neither a fetch nor these times. ``on_refused`` is called when a version fails
-    validation on this node, which can still serve its blobs to peers.
+    When a version has been missing for STORE_FALLBACK_SECONDS, the store is added as a
+    source. Newer announcements restart neither a fetch nor these times. ``on_refused``
+    is called when a version fails validation on this node, which can still serve its
+    blobs to peers.
     """
 
     def __init__(self, configuration, peers, store, clock):
