--- a/rattanworks/tests/platform/planned_stops_tests.py
+++ b/rattanworks/tests/platform/planned_stops_tests.py
@@ -17,6 +17,8 @@
 )
 from rattanworks.utils import http_server
 
+WORK_SECONDS = 1.6
+
 
 class PlannedStopTests(unittest.TestCase):
     def test_a_running_call_keeps_its_connection_until_the_last_sixth_of_a_stop(self):
@@ -47,6 +49,25 @@
             200,
         )
 
+    def test_a_late_call_that_is_taken_is_not_given_up_while_it_runs(self):
+        """Once it runs, its caller can no longer repeat it elsewhere."""
+        session = Session(self, grace="6s")
+        bring_up(self, session)
+        node = session.daemon.node
+        # Two objectives of the route fit into what is left of the stop, but not the
+        # time that the call takes. It would end before its route's timeout of 2 s.
+        plan = plan_stop(node.clock.monotonic() - 4.0, node.settings.drain)
+        node.lifecycle.begin_stop(plan)
+        answer = session.backend.answer
+
+        def answer_late(environ, body):
+            time.sleep(WORK_SECONDS)
+            return answer(environ, body)
+
+        session.backend.answer = answer_late
+        status = session.send_call("r-late", "POST", "/photos/1", b"a photo")
+        self.assertIn(status, (200, 503))
+
     def test_a_node_to_which_callers_keep_coming_answers_them_beyond_the_notice(self):
         """Callers stay with a stopping node if most of their nodes stop at once."""
         session = Session(self, grace="20s")
