Use the tests' own stand-in server and one builder of routing tables

The tests of limits and leaving had an HTTP server of their own beside the platform's stand-in, and the window of the users' rule stood in two modules. The stand-in now takes headers for its answers, the window is in tests/rates.py, and four set-ups of routing tables over fixed lists are one builder.

--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -1,7 +1,6 @@
 """What the owner runs and refuses, and how its backend server joins and leaves."""
 
 import threading
-import types
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -16,13 +15,13 @@
 from rattanworks.membership.members import Members
 from rattanworks.model.call import Answer, Outcome
 from rattanworks.model.endpoint import EndpointState
-from rattanworks.routing.table import RoutingTables
 from rattanworks.tests.builders import (
     CUSTOMERS,
     build_announcement,
     build_call,
     build_lists,
     build_record,
+    build_tables,
 )
 from rattanworks.tests.fakes import FakeBackendServer, FakeClock
 from rattanworks.tests.moves.world import running_state
@@ -44,12 +43,8 @@
         self.clock = FakeClock()
         self.members = Members(build_record(state=EndpointState.JOINED))
         lists = build_lists(CUSTOMERS, PLANS)
-        configuration = types.SimpleNamespace(
-            snapshot=types.SimpleNamespace(lists=lists),
-            add_listener=lambda listener: None,
-        )
         self.services = PrecedenceTable(lambda state: state.service)
-        tables = RoutingTables(configuration, self.members, self.services)
+        tables = build_tables(self.members, self.services, lists)
         self.limits = PlanLimits(self.clock)
         self.use = lists.plans_by_name["counter"].uses[0]
         self.owner = Owner(self.members, tables, self.limits, self.clock, 4)
--- a/rattanworks/tests/admission/rate_limit_tests.py
+++ b/rattanworks/tests/admission/rate_limit_tests.py
@@ -9,21 +9,10 @@
     RateLimit,
 )
 from rattanworks.admission.waiting import Rank
+from rattanworks.tests.rates import SLACK_CALLS, allowed_in_window, most_in_window
 
 STEP_SECONDS = 0.005
 RUN_SECONDS = 0.06
-# What the users allow: in any window half as much again as the rate, and 5 calls.
-WINDOW_SECONDS = 4.0
-TOLERANCE = 1.5
-SLACK_CALLS = 5
-
-
-def most_in_window(times, seconds=WINDOW_SECONDS):
-    """Return the most calls that start within one window."""
-    return max(
-        (sum(start <= time < start + seconds for time in times) for start in times),
-        default=0,
-    )
 
 
 class RateLimitTests(unittest.TestCase):
@@ -44,8 +33,7 @@
                 limit = RateLimit()
                 limit.update(rate, 0.0)
                 times = self.starts(limit, 0.0, 12.0)
-                allowed = TOLERANCE * rate * WINDOW_SECONDS + SLACK_CALLS
-                self.assertLessEqual(most_in_window(times), allowed)
+                self.assertLessEqual(most_in_window(times), allowed_in_window(rate))
                 self.assertGreaterEqual(len(times), 0.95 * rate * 12.0)
 
     def test_a_limit_that_changes_at_every_answer_is_kept(self):
@@ -57,8 +45,7 @@
             if not limit.wait_seconds(now):
                 limit.take(now)
                 times.append(now)
-        allowed = TOLERANCE * 20.0 * WINDOW_SECONDS + SLACK_CALLS
-        self.assertLessEqual(most_in_window(times), allowed)
+        self.assertLessEqual(most_in_window(times), allowed_in_window(20.0))
 
     def test_a_limit_is_lifted_some_time_after_the_last_answer_that_named_it(self):
         limit = RateLimit()
@@ -135,8 +122,7 @@
     def test_the_server_gets_its_rate_and_the_rest_is_refused_with_a_time(self):
         self.queue.update_limit(self.RATE, 1.0)
         starts, waits, refusals = self.play(100.0, 12.0)
-        allowed = TOLERANCE * self.RATE * WINDOW_SECONDS + SLACK_CALLS
-        self.assertLessEqual(most_in_window(starts), allowed)
+        self.assertLessEqual(most_in_window(starts), allowed_in_window(self.RATE))
         self.assertGreaterEqual(len(starts), 0.9 * self.RATE * 12.0)
         # Waits are those of a server with as many slots as the rate keeps busy.
         self.assertLessEqual(max(waits), 0.2)
--- a/rattanworks/tests/builders.py
+++ b/rattanworks/tests/builders.py
@@ -1,7 +1,9 @@
 """Builders of test data."""
 
+import types
 import uuid
 
+from rattanworks.distribution.configuration import Snapshot
 from rattanworks.distribution.content import references, split_lists
 from rattanworks.model.announcement import Announcement
 from rattanworks.model.call import Call
@@ -10,6 +12,7 @@
 from rattanworks.model.lists import Customer, OperatorLists, Plan, ServiceUse
 from rattanworks.model.route import Route, WeightedService
 from rattanworks.model.version import Head, Manifest, content_hash
+from rattanworks.routing.table import RoutingTables
 from rattanworks.settings.lists import parse_lists
 from rattanworks.utils.codec import encode_json
 from rattanworks.utils.compression import compress
@@ -52,6 +55,15 @@
     return parse_lists(customers, plans)
 
 
+def build_tables(members, services, lists=None):
+    """Return the RoutingTables of lists that stay in force as version 1."""
+    configuration = types.SimpleNamespace(
+        snapshot=Snapshot(Head(1, ""), None, lists or build_lists()),
+        add_listener=lambda listener: None,
+    )
+    return RoutingTables(configuration, members, services)
+
+
 def build_route(**changes):
     """Return a route to the service ``catalogue`` for any host."""
     fields = {
--- a/rattanworks/tests/moves/entry_tests.py
+++ b/rattanworks/tests/moves/entry_tests.py
@@ -3,15 +3,12 @@
 import types
 import unittest
 
-from rattanworks.distribution.configuration import Snapshot
 from rattanworks.exceptions import CallNotSentError
 from rattanworks.model.call import Answer, Outcome, refusal, unknown_outcome
-from rattanworks.model.version import Head
 from rattanworks.routing.choice import EndpointChooser
 from rattanworks.routing.entry import CallerRequest, Entry
-from rattanworks.routing.table import RoutingTables
 from rattanworks.settings.node import HostSettings
-from rattanworks.tests.builders import build_lists
+from rattanworks.tests.builders import build_tables
 from rattanworks.tests.fakes import FakeClock
 from rattanworks.tests.moves.world import endpoints, running_state, services_table
 from rattanworks.utils.precedence_table import PrecedenceTable
@@ -32,16 +29,12 @@
 
 
 def build_entry(peer_calls):
-    configuration = types.SimpleNamespace(
-        snapshot=Snapshot(Head(1, ""), None, build_lists()),
-        add_listener=lambda listener: None,
-    )
     records = PrecedenceTable(lambda record: record.node)
     records.merge(endpoints())
     members = types.SimpleNamespace(by_node=records.rows_by_name, table=records)
     services = services_table()
     services.merge((running_state(share=1.0),))
-    tables = RoutingTables(configuration, members, services)
+    tables = build_tables(members, services)
     owner = types.SimpleNamespace(owns=lambda record: False, repeat_share=0.0)
     clock = FakeClock()
     chooser = EndpointChooser(HostSettings("entry", "qc-est", "qc-est-a"), clock)
--- a/rattanworks/tests/platform/server_notices_tests.py
+++ b/rattanworks/tests/platform/server_notices_tests.py
@@ -2,10 +2,8 @@
 
 import threading
 import time
-import types
 import unittest
 from concurrent.futures import ThreadPoolExecutor
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from rattanworks.adapters.system_clock import SystemClock
 from rattanworks.admission.limits import PlanLimits
@@ -16,84 +14,35 @@
 from rattanworks.model.endpoint import EndpointState
 from rattanworks.model.route import RouteKind
 from rattanworks.platform.backend import PlatformBackendServer
-from rattanworks.routing.table import RoutingTables
 from rattanworks.tests.builders import (
     build_announcement,
     build_call,
-    build_lists,
     build_record,
+    build_tables,
 )
+from rattanworks.tests.platform.standins import StandInPlatformBackend
+from rattanworks.tests.rates import allowed_in_window, most_in_window
 from rattanworks.utils.precedence_table import PrecedenceTable
 
 LIMIT = 2.0
-WINDOW_SECONDS = 4.0
-# What the platform allows in WINDOW_SECONDS.
-ALLOWED = 1.5 * LIMIT * WINDOW_SECONDS + 5
 THREADS = 4
-LIMIT_SECONDS = 30.0
+WAIT_SECONDS = 30.0
 CALLS = 40
 
 
-class NoticingServer(ThreadingHTTPServer):
-    """A backend server whose answers carry the headers in ``notices``."""
-
-    daemon_threads = True
-
-    def __init__(self, notices):
-        self.notices = notices
-        self.arrivals = []
-        self.hold = threading.Event()
-        self.hold.set()
-        self._lock = threading.Lock()
-        super().__init__(("127.0.0.1", 0), _Handler)
-        threading.Thread(target=self.serve_forever, daemon=True).start()
-
-    @property
-    def address(self):
-        return "{}:{}".format(*self.server_address)
-
-    def record_arrival(self):
-        with self._lock:
-            self.arrivals.append(time.monotonic())
-
-    def close(self):
-        self.shutdown()
-        self.server_close()
-
-
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-
-    def do_GET(self):
-        self.server.record_arrival()
-        self.server.hold.wait(LIMIT_SECONDS)
-        self.send_response(200)
-        self.send_header("Content-Length", "2")
-        self.send_header("X-Request-Id", self.headers["X-Request-Id"])
-        self.send_header("X-Server-Signature", "3e1b.07")
-        for name, value in self.server.notices:
-            self.send_header(name, value)
-        self.end_headers()
-        self.wfile.write(b"ok")
-
-    def log_message(self, *arguments):
-        """Keep the output of the tests free of access lines."""
-
-
 class ServerNoticesTestCase(unittest.TestCase):
     def start(self, *notices):
-        self.server = NoticingServer(notices)
+        self.server = StandInPlatformBackend()
         self.addCleanup(self.server.close)
+        self.server.notices = notices
+        self.server.answer = self.record_arrival
+        self.arrivals = []
         self.members = Members(build_record(state=EndpointState.JOINED))
-        configuration = types.SimpleNamespace(
-            snapshot=types.SimpleNamespace(lists=build_lists()),
-            add_listener=lambda listener: None,
-        )
         services = PrecedenceTable(lambda state: state.service)
         clock = SystemClock()
         self.owner = Owner(
             self.members,
-            RoutingTables(configuration, self.members, services),
+            build_tables(self.members, services),
             PlanLimits(clock),
             clock,
             4,
@@ -101,8 +50,14 @@
         self.clock = clock
         self.announce()
 
+    def record_arrival(self, environ, body):
+        self.arrivals.append(time.monotonic())
+        return 200, b"ok"
+
     def announce(self, started_at=1):
-        backend = PlatformBackendServer(self.server.address, 8, "i-7", self.clock)
+        backend = PlatformBackendServer(
+            self.server.address, 8, self.server.instance, self.clock
+        )
         self.addCleanup(backend.close)
         self.announcement = build_announcement(
             address=self.server.address,
@@ -123,19 +78,12 @@
 
 
 class ServerLimitTests(ServerNoticesTestCase):
-    def most_arrivals(self):
-        times = self.server.arrivals
-        return max(
-            sum(start <= moment < start + WINDOW_SECONDS for moment in times)
-            for start in times
-        )
-
     def test_a_server_gets_no_more_calls_than_the_limit_that_it_names(self):
         self.start(("Server-Limit", str(LIMIT)))
         self.assertEqual(self.dispatch().status, 200)
         with ThreadPoolExecutor(THREADS) as executor:
             answers = list(executor.map(lambda _: self.dispatch(), range(CALLS)))
-        self.assertLessEqual(self.most_arrivals(), ALLOWED)
+        self.assertLessEqual(most_in_window(self.arrivals), allowed_in_window(LIMIT))
         refused = [answer for answer in answers if answer.status != 200]
         self.assertEqual({answer.outcome for answer in refused}, {Outcome.NOT_RUN})
         self.assertTrue(all(answer.retry_after for answer in refused))
@@ -147,7 +95,7 @@
         self.assertEqual(self.dispatch().status, 200)
         refused = self.dispatch()
         self.assertEqual((refused.status, refused.outcome), (503, Outcome.NOT_RUN))
-        self.assertEqual(len(self.server.arrivals), 1)
+        self.assertEqual(len(self.arrivals), 1)
         self.assertEqual(self.members.own.state, EndpointState.LEAVING)
         # Its heartbeats may go on for a while and say nothing of it.
         self.owner.renew(self.announcement)
@@ -164,10 +112,15 @@
         release = threading.Event()
         self.addCleanup(release.set)
         self.start(("Server-Leaving", "1"), ("Server-Limit", "0"))
-        self.server.hold = release
+
+        def answer_late(environ, body):
+            release.wait(WAIT_SECONDS)
+            return self.record_arrival(environ, body)
+
+        self.server.answer = answer_late
         with ThreadPoolExecutor(1) as executor:
-            late = executor.submit(self.dispatch, LIMIT_SECONDS)
-            wait_until(lambda: self.server.arrivals, LIMIT_SECONDS, "at the server")
+            late = executor.submit(self.dispatch, WAIT_SECONDS)
+            wait_until(lambda: self.server.requests, WAIT_SECONDS, "at the server")
             self.announce(started_at=2)
             release.set()
             self.assertEqual(late.result().status, 200)
--- a/rattanworks/tests/platform/standins.py
+++ b/rattanworks/tests/platform/standins.py
@@ -189,10 +189,14 @@
 
 
 class StandInPlatformBackend(StandInServer):
-    """A backend server that records its requests and signs its answers."""
+    """A backend server that records its requests and signs its answers.
+
+    ``notices`` are headers by which it tells of itself in each answer.
+    """
 
     def __init__(self, instance="i-1"):
         self.instance = instance
+        self.notices = ()
         self.requests = []
         self.answer = lambda environ, body: (200, b"the server's bytes")
         self._lock = threading.Lock()
@@ -220,5 +224,5 @@
         if headers.get("X-Expected-Instance") != self.instance:
             return respond(start_response, Response(421, b"", identity))
         status, content = self.answer(environ, body)
-        signed_headers = (*identity, ("X-Server-Signature", "3e1b.07"))
-        return respond(start_response, Response(status, content, signed_headers))
+        headers = (*identity, ("X-Server-Signature", "3e1b.07"), *self.notices)
+        return respond(start_response, Response(status, content, headers))
--- a/rattanworks/tests/routing/honesty_tests.py
+++ b/rattanworks/tests/routing/honesty_tests.py
@@ -3,7 +3,6 @@
 import types
 import unittest
 
-from rattanworks.distribution.configuration import Snapshot
 from rattanworks.exceptions import (
     AnswerBudgetExhaustedError,
     AnswerTooLargeError,
@@ -11,12 +10,10 @@
     CallOutcomeUnknownError,
 )
 from rattanworks.model.call import Answer, Outcome, refusal
-from rattanworks.model.version import Head
 from rattanworks.routing.choice import EndpointChooser
 from rattanworks.routing.entry import CallerRequest, Entry
-from rattanworks.routing.table import RoutingTables
 from rattanworks.settings.node import HostSettings
-from rattanworks.tests.builders import build_call, build_lists, build_record
+from rattanworks.tests.builders import build_call, build_record, build_tables
 from rattanworks.tests.fakes import FakeClock, FakePeerCalls
 from rattanworks.utils.precedence_table import PrecedenceTable
 
@@ -39,15 +36,11 @@
 def entry_with(peer_calls, ledger=None, lists=None):
     clock = FakeClock()
     records = [build_record(f"node-{number}") for number in range(3)]
-    lists = lists or build_lists()
-    configuration = types.SimpleNamespace(
-        snapshot=Snapshot(Head(1, ""), None, lists), add_listener=lambda listener: None
-    )
     table = PrecedenceTable(lambda record: record.node)
     members = types.SimpleNamespace(
         by_node={record.node: record for record in records}, table=table
     )
-    tables = RoutingTables(configuration, members, PrecedenceTable(lambda row: row))
+    tables = build_tables(members, PrecedenceTable(lambda row: row), lists)
     owner = types.SimpleNamespace(owns=lambda record: False, repeat_share=0.0)
     chooser = EndpointChooser(HostSettings("entry", "qc-est", "qc-est-a"), clock)
     return Entry(tables, chooser, owner, peer_calls, ledger, clock)
