Do nothing for an answer that leaves the limit as it is

Each answer took the queue's lock to look for calls to start and to wake, also where no limit was named or changed; the slot that it frees does so right after. A header's name is put into lower case once for an answer, not for each header. A truth value of SourceQueue that nothing used is gone.

--- a/rattanworks/admission/call_queue.py
+++ b/rattanworks/admission/call_queue.py
@@ -161,7 +161,8 @@
         Returns whether the rate in force has changed.
         """
         is_changed = self.limit.update(calls_per_second, now)
-        self.grant_waiters(now)
+        if is_changed:
+            self.grant_waiters(now)
         return is_changed
 
     def seconds_to_start(self, now):
--- a/rattanworks/admission/slots.py
+++ b/rattanworks/admission/slots.py
@@ -91,7 +91,8 @@
         with self._lock:
             now = self._clock.monotonic()
             is_changed = self._queue.update_limit(calls_per_second, now)
-            self._wake_waiters()
+            if is_changed:
+                self._wake_waiters()
             return is_changed
 
     def _wake_waiters(self):
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -121,9 +121,6 @@
     def __init__(self):
         self._candidates_by_name = {}
 
-    def __bool__(self):
-        return bool(self._candidates_by_name)
-
     def __contains__(self, source):
         return source.name in self._candidates_by_name
 
--- a/rattanworks/platform/notices.py
+++ b/rattanworks/platform/notices.py
@@ -31,7 +31,8 @@
 
 
 def _values(headers, wanted):
-    return [value.strip() for name, value in headers if name.lower() == wanted.lower()]
+    wanted = wanted.lower()
+    return [value.strip() for name, value in headers if name.lower() == wanted]
 
 
 def _parse_limit(values):
