Show versions that the budget of store reads holds up for good

A node that starts from the store alone never has a version of more than 64 blobs in force: every attempt is cut short by the budget and starts anew.

--- a/rattanworks/tests/distribution/version_series_tests.py
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -7,11 +7,15 @@
 from rattanworks.bench.fleet import wait_until
 from rattanworks.distribution.configuration import Configuration
 from rattanworks.distribution.keys import HEAD, blob_key
-from rattanworks.distribution.replicator import STORE_FALLBACK_SECONDS, Replicator
+from rattanworks.distribution.replicator import (
+    STORE_FALLBACK_SECONDS,
+    STORE_READ_BURST,
+    Replicator,
+)
 from rattanworks.exceptions import PeerUnavailableError
 from rattanworks.model.control import FetchReply
 from rattanworks.ports.base import ABSENT
-from rattanworks.tests.builders import build_version
+from rattanworks.tests.builders import build_numbered_lists, build_version
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
 from rattanworks.utils.codec import encode_json
 
@@ -21,6 +25,8 @@
 # The tightest bound that a deployment of the users sets for a version to be in force.
 IN_FORCE_SECONDS = 2.0
 WAIT_SECONDS = 20.0
+# Split into 64 pages.
+CUSTOMERS = 3000
 
 
 class Series:
@@ -148,6 +154,26 @@
         self.assertEqual(self.configuration.head.version, 2)
 
 
+class LargeVersionTests(unittest.TestCase):
+    """A first start from the store, with more blobs than a node may read at once."""
+
+    def test_a_version_of_more_blobs_than_the_read_budget_comes_into_force(self):
+        customers = {f"customer-{number}": "gold" for number in range(CUSTOMERS)}
+        head, contents = build_version(1, build_numbered_lists(1, customers))
+        self.assertGreater(len(contents), STORE_READ_BURST)
+        store = FakeStore()
+        for hash, content in contents.items():
+            store.put(blob_key(hash), content, ABSENT)
+        configuration = Configuration()
+        replicator = Replicator(
+            configuration, FakeControlPeers({}), store, SystemClock()
+        )
+        replicator.start()
+        self.addCleanup(replicator.stop)
+        replicator.handle_store_head(head)
+        wait_until(lambda: configuration.head == head, WAIT_SECONDS, "in force")
+
+
 class SilentSourceTests(unittest.TestCase):
     def test_a_source_that_does_not_answer_does_not_hold_up_the_others(self):
         head, contents = build_version(1)
--- a/rattanworks/tests/platform/builders.py
+++ b/rattanworks/tests/platform/builders.py
@@ -114,13 +114,12 @@
     return json.dumps({**CONFIGURATION, **changes}).encode()
 
 
-def build_routes(*changes_by_route):
+def build_routes(*changes_by_route, **fields):
     """Return a configuration with a changed copy of the route "order" for each."""
     order = CONFIGURATION["virtualHosts"][0]["pathRules"][1]
     rules = [{**order, **changes} for changes in changes_by_route]
-    return build_configuration(
-        virtualHosts=[{"host": "shop.example", "pathRules": rules}]
-    )
+    hosts = [{"host": "shop.example", "pathRules": rules}]
+    return build_configuration(virtualHosts=hosts, **fields)
 
 
 def one_service_configuration(**changes):
