Charge no read of the store for a blob that the client holds

Cause: on the platform the operator's record holds a whole version, and its blobs are derived from it and kept when the watch brings it. Each blob of a fetch took a token of the budget of store reads (20 a second, bursts of 64) all the same, although no call was made. A series used the burst up, about 7 tokens a version; then an attempt needed more tokens than had come since the last one, took what there was and failed, and each new announcement started the next. The watchers of all failure domains read the same, so they stopped together, and no other node had a source.

Change: the store port tells which entries its client holds; only reads that call the store take from the budget.

--- a/rattanworks/client.py
+++ b/rattanworks/client.py
@@ -59,6 +59,9 @@
 
 
 class _NoStore:
+    def get_kept(self, key):
+        return None
+
     def get(self, key):
         raise StoreUnavailableError("a client reads versions from its node only")
 
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -92,9 +92,13 @@
 
         Raise StoreUnavailableError when the budget is spent.
         """
-        entries = {hash: self._get(blob_key(hash)) for hash in hashes}
+        entries = {hash: self._blob(blob_key(hash)) for hash in hashes}
         return {hash: entry.value for hash, entry in entries.items() if entry}
 
+    def _blob(self, key):
+        # A blob that the client holds costs no call, and so nothing of the budget.
+        return self._store.get_kept(key) or self._get(key)
+
     def _get(self, key):
         if not self._budget.take():
             raise StoreUnavailableError(
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -203,15 +203,21 @@
         """End a lease and delete the records bound to it."""
         self._write("DELETE", f"/rattanworks/kv-lease-end/{lease_id}")
 
+    def get_kept(self, key):
+        """Return the entry of a blob of one of the latest configurations, or None."""
+        if not key.startswith(BLOBS_PREFIX):
+            return None
+        content = self._translator.kept_blob(key.removeprefix(BLOBS_PREFIX))
+        return None if content is None else StoreEntry(key, content, ABSENT)
+
     def _blob(self, key):
-        blob_hash = key.removeprefix(BLOBS_PREFIX)
-        content = self._translator.kept_blob(blob_hash)
-        if content is None:
+        entry = self.get_kept(key)
+        if entry is None:
             # The node may have this version from peers only; reading the head from the
             # store translates the configuration and keeps its blobs.
             self.get(HEAD)
-            content = self._translator.kept_blob(blob_hash)
-        return None if content is None else StoreEntry(key, content, ABSENT)
+            entry = self.get_kept(key)
+        return entry
 
     def _entries(self, items, prefix):
         entries = []
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -56,6 +56,13 @@
     def get(self, key):
         """Return the StoreEntry at ``key`` or None."""
 
+    def get_kept(self, key):
+        """Return the StoreEntry at ``key`` if the client holds it, or None.
+
+        Never calls the store. Only for records that do not change, such as blobs.
+        """
+        return None
+
     @abc.abstractmethod
     def list(self, prefix):
         """Return the entries whose keys start with ``prefix`` as a WatchEvent."""
