Let a fetch wait for the budget of store reads instead of starting again

What callers would see: 503 from a node that has no peer yet, for good, as no version comes into force.

Cause: a fetch that the budget cut short failed and lost the blobs it had read; the next attempt spent what had come since on the same ones. A version of more than 64 blobs could not be read from the store at all, and a watcher whose fetch needs more reads than come between two announcements never caught up.

Of two fixes, keeping the blobs read and waiting for the budget, waiting also ends in a series of versions that each change all pages.

Change: reads beyond the budget wait for it, at the same 20 a second; the wait ends when the version is overtaken or the node stops. The fetch occupies one of two slots, the other is for peers.

--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -1,5 +1,6 @@
 """Fetches versions that peers or the store announce, and serves them to peers."""
 
+import functools
 import math
 import random
 import threading
@@ -19,6 +20,7 @@
     RattanworksError,
     VersionRefusedError,
 )
+from rattanworks.model.call import return_true
 from rattanworks.model.control import FetchReply
 from rattanworks.model.version import NO_HEAD, Head
 from rattanworks.utils.backoff import TokenBucket
@@ -49,12 +51,12 @@
         self._clock = clock
         self._random = random.Random()
         budget = TokenBucket(STORE_READS_PER_SECOND, STORE_READ_BURST, clock)
-        self._store_source = StoreSource(store, budget)
+        self._stopped = threading.Event()
+        self._store_source = StoreSource(store, budget, self._stopped.wait)
         self.announcements = Announcements(clock)
         self._changed = threading.Condition()
         self._sources = SourceQueue()
         self._running = RunningFetches()
-        self._is_stopped = False
         self.on_refused = lambda: None
         self._threads = [
             threading.Thread(target=self._run, name=f"replicator-{number}", daemon=True)
@@ -73,8 +75,8 @@
 
     def stop(self):
         """Stop the threads without waiting for a running fetch."""
+        self._stopped.set()
         with self._changed:
-            self._is_stopped = True
             self._changed.notify_all()
 
     def serve(self, message):
@@ -114,7 +116,7 @@
             self._changed.notify_all()
 
     def _run(self):
-        while not self._is_stopped:
+        while not self._stopped.is_set():
             fetch = self._wait_for_fetch()
             if fetch is not None:
                 self.pull(*fetch)
@@ -122,7 +124,7 @@
     def _wait_for_fetch(self):
         with self._changed:
             fetch = self.next_fetch()
-            if fetch is None and not self._is_stopped:
+            if fetch is None and not self._stopped.is_set():
                 timeout = self._next_due() - self._clock.monotonic()
                 is_finite = timeout < math.inf
                 self._changed.wait(max(0.0, timeout) if is_finite else None)
@@ -258,7 +260,8 @@
             if reference.hash not in held and reference.hash not in fetched
         ]
         if missing:
-            fetched = {**fetched, **_fetch_all(source, missing)}
+            still_wanted = functools.partial(self._configuration.is_update, head)
+            fetched = {**fetched, **_fetch_all(source, missing, still_wanted)}
         return head, {**held, **fetched}
 
 
@@ -270,8 +273,8 @@
     }
 
 
-def _fetch_all(source, hashes):
-    fetched = source.fetch(hashes)
+def _fetch_all(source, hashes, is_wanted=return_true):
+    fetched = source.fetch(hashes, is_wanted)
     for hash in hashes:
         if hash not in fetched:
             raise BlobUnusableError(
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -7,6 +7,7 @@
 from rattanworks.distribution.content import MAX_BLOB_BYTES
 from rattanworks.distribution.keys import HEAD, blob_key
 from rattanworks.exceptions import BlobUnusableError, StoreUnavailableError
+from rattanworks.model.call import return_true
 from rattanworks.model.control import FetchRequest
 from rattanworks.model.version import NO_HEAD, Head
 from rattanworks.utils.backoff import FullJitterBackoff
@@ -47,7 +48,7 @@
         reply = self._request(FetchRequest((head.manifest_hash,), True, prefixes))
         return reply.head, self._decompress(reply)
 
-    def fetch(self, hashes):
+    def fetch(self, hashes, is_wanted=return_true):
         """Return the requested blobs that the peer has, by hash."""
         return self._decompress(self._request(FetchRequest(tuple(hashes))))
 
@@ -67,43 +68,53 @@
 
 
 class StoreSource:
-    """Fetches blobs from the store; ``budget`` limits the rate of reads."""
+    """Fetches blobs from the store; ``budget`` limits the rate of reads.
+
+    A fetch of more reads than the budget holds waits for it: given up and started
+    again, it would spend the budget once more on the blobs that it had read already.
+    ``pause(seconds)`` waits and returns True once the node stops.
+    """
 
     name = "store"
 
-    def __init__(self, store, budget):
+    def __init__(self, store, budget, pause):
         self._store = store
         self._budget = budget
+        self._pause = pause
 
     def fetch_newest(self, head, known_hashes):
         """Return ``head`` and its manifest by hash, or the store's head if it has none.
 
-        A store may keep only the newest version. Raise StoreUnavailableError when the
-        budget is spent.
+        A store may keep only the newest version. Raise StoreUnavailableError as
+        ``fetch`` does.
         """
         contents = self.fetch([head.manifest_hash])
         if contents:
             return head, contents
-        entry = self._get(HEAD)
+        entry = self._get(HEAD, return_true)
         return (NO_HEAD if entry is None else decode_head(entry.value)), {}
 
-    def fetch(self, hashes):
+    def fetch(self, hashes, is_wanted=return_true):
         """Return the requested blobs that the store has, by hash.
 
-        Raise StoreUnavailableError when the budget is spent.
+        Raise StoreUnavailableError when the fetch waits for the budget and the node
+        stops or ``is_wanted()`` becomes false.
         """
-        entries = {hash: self._blob(blob_key(hash)) for hash in hashes}
+        entries = {hash: self._blob(blob_key(hash), is_wanted) for hash in hashes}
         return {hash: entry.value for hash, entry in entries.items() if entry}
 
-    def _blob(self, key):
+    def _blob(self, key, is_wanted):
         # A blob that the client holds costs no call, and so nothing of the budget.
-        return self._store.get_kept(key) or self._get(key)
-
-    def _get(self, key):
-        if not self._budget.take():
-            raise StoreUnavailableError(
-                "this node's budget of store reads is spent; the fetch is retried"
-            )
+        return self._store.get_kept(key) or self._get(key, is_wanted)
+
+    def _get(self, key, is_wanted):
+        while not self._budget.take():
+            is_stopped = self._pause(self._budget.seconds_until_token())
+            if is_stopped or not is_wanted():
+                raise StoreUnavailableError(
+                    "the version is no longer needed here, or the node stops; "
+                    "nothing needs to be done"
+                )
         return self._store.get(key)
 
 
--- a/rattanworks/tests/distribution/version_series_tests.py
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -12,11 +12,13 @@
     STORE_READ_BURST,
     Replicator,
 )
-from rattanworks.exceptions import PeerUnavailableError
+from rattanworks.distribution.sources import StoreSource
+from rattanworks.exceptions import PeerUnavailableError, StoreUnavailableError
 from rattanworks.model.control import FetchReply
 from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_numbered_lists, build_version
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
+from rattanworks.utils.backoff import TokenBucket
 from rattanworks.utils.codec import encode_json
 
 GAP_SECONDS = 0.55
@@ -174,6 +176,42 @@
         wait_until(lambda: configuration.head == head, WAIT_SECONDS, "in force")
 
 
+class StoreSourceTests(unittest.TestCase):
+    """Reads of the store beyond the budget, which wait for it."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.store = FakeStore()
+        _, contents = build_version(1)
+        for hash, content in contents.items():
+            self.store.put(blob_key(hash), content, ABSENT)
+        self.contents = contents
+        self.pauses = []
+        budget = TokenBucket(rate=1.0, burst=1, clock=self.clock)
+        self.source = StoreSource(self.store, budget, self.pause)
+
+    def pause(self, seconds):
+        self.pauses.append(seconds)
+        self.clock.advance(seconds)
+        return False
+
+    def test_reads_beyond_the_budget_wait_for_it(self):
+        self.assertEqual(self.source.fetch(self.contents), self.contents)
+        self.assertEqual(self.pauses, [1.0] * (len(self.contents) - 1))
+
+    def test_a_fetch_that_waits_ends_when_its_version_is_no_longer_wanted(self):
+        with self.assertRaises(StoreUnavailableError):
+            self.source.fetch(self.contents, is_wanted=lambda: False)
+        self.assertEqual(len(self.pauses), 1)
+
+    def test_a_fetch_that_waits_ends_when_the_node_stops(self):
+        source = StoreSource(
+            self.store, TokenBucket(1.0, 1, self.clock), pause=lambda seconds: True
+        )
+        with self.assertRaises(StoreUnavailableError):
+            source.fetch(self.contents)
+
+
 class SilentSourceTests(unittest.TestCase):
     def test_a_source_that_does_not_answer_does_not_hold_up_the_others(self):
         head, contents = build_version(1)
--- a/rattanworks/utils/backoff.py
+++ b/rattanworks/utils/backoff.py
@@ -43,11 +43,20 @@
     def take(self):
         """Take one token and return whether one was available."""
         with self._lock:
-            now = self._clock.monotonic()
-            gained = (now - self._refilled_at) * self._rate
-            self._tokens = min(self._burst, self._tokens + gained)
-            self._refilled_at = now
+            self._refill()
             if self._tokens < 1.0:
                 return False
             self._tokens -= 1.0
             return True
+
+    def seconds_until_token(self):
+        """Return the seconds until a token is available, 0 if one is."""
+        with self._lock:
+            self._refill()
+            return max(0.0, 1.0 - self._tokens) / self._rate
+
+    def _refill(self):
+        now = self._clock.monotonic()
+        gained = (now - self._refilled_at) * self._rate
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._refilled_at = now
