Let the test of a long series fail instead of waiting for good

Since reads beyond the budget wait for it, the test of the first fault would not fail if the fault came back: its clock stands still while a fetch waits. Without the check of kept blobs it ran until it was killed after 25 s.

Change: the replicator is stopped after a minute, which ends the wait, so that the version is missing. Seen with the check taken out and the minute set to 3 s: fails at version 15, as on the code before the fix.

--- a/rattanworks/tests/platform/version_series_tests.py
+++ b/rattanworks/tests/platform/version_series_tests.py
@@ -1,5 +1,6 @@
 """Configurations that the operator sends in quick succession for a long time."""
 
+import threading
 import unittest
 
 from rattanworks.distribution.archive import decode_head
@@ -14,6 +15,7 @@
 GAP_SECONDS = 0.25
 VERSIONS = 120
 FIRST_ROUTES = 40
+LIMIT_SECONDS = 60.0
 
 
 def build_series_configuration(number):
@@ -41,6 +43,10 @@
         self.replicator = Replicator(
             self.configuration, FakeControlPeers({}), self.store, self.clock
         )
+        # A fetch that waits for the budget would wait for good by a fake clock.
+        timer = threading.Timer(LIMIT_SECONDS, self.replicator.stop)
+        timer.start()
+        self.addCleanup(timer.cancel)
 
     def test_no_version_is_held_up_by_reads_that_the_store_never_sees(self):
         for number in range(1, VERSIONS + 1):
