Keep the blobs of a fetch from the store that a failed read ended

What callers would see: a node without a peer answers 503, and a watcher stays behind, for as long as the store fails some of the reads.

Cause: one failed read ends the whole fetch from the store, and the blobs read before it were dropped. The next attempt began with the first blob, so that a version of n blobs came only if n reads in a row succeeded.

Evidence: 66 blobs and a store that fails each tenth read: the test failed before, with nothing fetched after 132 reads.

Change: the source keeps the blobs of a fetch that failed until the next one. At most one version's blobs are kept. Manifests are read outside of it.

--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -6,7 +6,11 @@
 from rattanworks.distribution.archive import decode_head
 from rattanworks.distribution.content import MAX_BLOB_BYTES
 from rattanworks.distribution.keys import HEAD, blob_key
-from rattanworks.exceptions import BlobUnusableError, StoreUnavailableError
+from rattanworks.exceptions import (
+    BlobUnusableError,
+    StoreError,
+    StoreUnavailableError,
+)
 from rattanworks.model.call import return_true
 from rattanworks.model.control import FetchRequest
 from rattanworks.model.version import NO_HEAD, Head
@@ -72,7 +76,8 @@
 
     A fetch of more reads than the budget holds waits for it: given up and started
     again, it would spend the budget once more on the blobs that it had read already.
-    ``pause(seconds)`` waits and returns True once the node stops.
+    The blobs of a fetch that failed are kept for the next one. ``pause(seconds)`` waits
+    and returns True once the node stops.
     """
 
     name = "store"
@@ -81,6 +86,7 @@
         self._store = store
         self._budget = budget
         self._pause = pause
+        self._unused_by_hash = {}
 
     def fetch_newest(self, head, known_hashes):
         """Return ``head`` and its manifest by hash, or the store's head if it has none.
@@ -88,22 +94,34 @@
         A store may keep only the newest version. Raise StoreUnavailableError as
         ``fetch`` does.
         """
-        contents = self.fetch([head.manifest_hash])
-        if contents:
-            return head, contents
+        entry = self._blob(head.manifest_hash, return_true)
+        if entry is not None:
+            return head, {head.manifest_hash: entry.value}
         entry = self._get(HEAD, return_true)
         return (NO_HEAD if entry is None else decode_head(entry.value)), {}
 
     def fetch(self, hashes, is_wanted=return_true):
         """Return the requested blobs that the store has, by hash.
 
-        Raise StoreUnavailableError when the fetch waits for the budget and the node
-        stops or ``is_wanted()`` becomes false.
+        Raise StoreUnavailableError when the store does not answer, or the fetch waits
+        for the budget and the node stops or ``is_wanted()`` becomes false.
         """
-        entries = {hash: self._blob(blob_key(hash), is_wanted) for hash in hashes}
-        return {hash: entry.value for hash, entry in entries.items() if entry}
-
-    def _blob(self, key, is_wanted):
+        unused, contents = self._unused_by_hash, {}
+        self._unused_by_hash = {}
+        try:
+            for hash in hashes:
+                if hash in unused:
+                    contents[hash] = unused[hash]
+                elif (entry := self._blob(hash, is_wanted)) is not None:
+                    contents[hash] = entry.value
+        except StoreError:
+            wanted = {hash: unused[hash] for hash in hashes if hash in unused}
+            self._unused_by_hash = {**wanted, **contents}
+            raise
+        return contents
+
+    def _blob(self, hash, is_wanted):
+        key = blob_key(hash)
         # A blob that the client holds costs no call, and so nothing of the budget.
         return self._store.get_kept(key) or self._get(key, is_wanted)
 
--- a/rattanworks/tests/distribution/version_series_tests.py
+++ b/rattanworks/tests/distribution/version_series_tests.py
@@ -1,5 +1,6 @@
 """Versions that are accepted faster than one node can fetch them."""
 
+import contextlib
 import threading
 import unittest
 
@@ -176,6 +177,20 @@
         wait_until(lambda: configuration.head == head, WAIT_SECONDS, "in force")
 
 
+class FailingReadsStore(FakeStore):
+    """Fails each FAILING_READth read."""
+
+    FAILING_READ = 10
+
+    reads = 0
+
+    def get(self, key):
+        self.reads += 1
+        if self.reads % self.FAILING_READ == 0:
+            raise StoreUnavailableError("the store is busy; try again later")
+        return super().get(key)
+
+
 class StoreSourceTests(unittest.TestCase):
     """Reads of the store beyond the budget, which wait for it."""
 
@@ -204,6 +219,20 @@
             self.source.fetch(self.contents, is_wanted=lambda: False)
         self.assertEqual(len(self.pauses), 1)
 
+    def test_a_fetch_that_a_failed_read_ended_keeps_the_blobs_that_it_had(self):
+        customers = {f"customer-{number}": "gold" for number in range(CUSTOMERS)}
+        _, contents = build_version(1, build_numbered_lists(1, customers))
+        store = FailingReadsStore()
+        for hash, content in contents.items():
+            store.put(blob_key(hash), content, ABSENT)
+        budget = TokenBucket(rate=1.0, burst=len(contents) * 2, clock=self.clock)
+        source = StoreSource(store, budget, self.pause)
+        fetched = None
+        while fetched is None and store.reads < 2 * len(contents):
+            with contextlib.suppress(StoreUnavailableError):
+                fetched = source.fetch(contents)
+        self.assertEqual(fetched, contents)
+
     def test_a_fetch_that_waits_ends_when_the_node_stops(self):
         source = StoreSource(
             self.store, TokenBucket(1.0, 1, self.clock), pause=lambda seconds: True
