Let a lease last for the answers of a slow store

What callers would see: 404 for accepted routes on every host, for as long as the store is slow.

Cause: the watchers' lease is for 1.4 s and runs from the arrival of the call that grants it, but the role is held only two answers later, and renewed at the earliest one pause after that. At a store that takes 0.6 s for an answer each lease expires before its first renewal; from 0.75 s on it expires before the role is taken, no watch begins, and each attempt starts again with a list, a grant and a write. The nodes that run then learn of no version.

Evidence: the test failed before: at 0.75 and 1.0 s none of 40 steps held the role, at 1.9 s it was never acquired.

Change: the lease is for the pause between renewals and four answers, as long as the list before it took, if that is longer. At answers below 0.24 s it is the same as before.

--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -21,6 +21,9 @@
 BACKOFF_CAP_SECONDS = 8.0
 # How long one watch of the lease holder's record by a standby node lasts.
 STANDBY_WATCH_SECONDS = 10.0
+# Answers of the store that a lease lasts for beside the time between two renewals:
+# acquiring the role takes two and its first renewal one.
+ANSWERS_IN_LEASE = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +33,11 @@
     lease_seconds: float
     renew_seconds: float
 
+    def lease_seconds_at(self, answer_seconds):
+        """Return how long a lease lasts whose store takes so long for an answer."""
+        needed = self.renew_seconds + ANSWERS_IN_LEASE * answer_seconds
+        return max(self.lease_seconds, needed)
+
 
 # For roles whose work may pause for some seconds while the lease holder changes.
 DEFAULT_TIMING = LeaseTiming(6.0, 2.0)
@@ -73,6 +81,7 @@
         self._random = random.Random()
         self._backoff = FullJitterBackoff(RETRY_SECONDS, BACKOFF_CAP_SECONDS)
         self._lease_id = ""
+        self._lease_seconds = timing.lease_seconds
         self._valid_until = 0.0
         self._term = 0
         self._thread = threading.Thread(target=self._run, name=key, daemon=True)
@@ -178,12 +187,14 @@
         self._seen_revision = 0
         if not (self._is_needed() and self._is_candidate()):
             return
+        asked_at = self._clock.monotonic()
         event = self._store.list(self._key)
         if _find(self._key, event) is not None:
             self._seen_revision = event.revision
             return
         started = self._clock.monotonic()
-        lease_id = self._store.grant_lease(self._timing.lease_seconds)
+        lease_seconds = self._timing.lease_seconds_at(started - asked_at)
+        lease_id = self._store.grant_lease(lease_seconds)
         try:
             entry = self._store.put(self._key, self._holder_value, ABSENT, lease_id)
         except StoreConflictError:
@@ -194,7 +205,8 @@
             # the next step tries again.
             self._revoke(lease_id)
             raise
-        self._valid_until = started + self._timing.lease_seconds
+        self._lease_seconds = lease_seconds
+        self._valid_until = started + lease_seconds
         self._term = entry.revision
         self._lease_id = lease_id
         log_event("role-acquired", role=self._key, term=self._term)
@@ -215,7 +227,7 @@
             self._lease_id = ""
             log_event("role-lost", role=self._key, term=self._term)
             return
-        self._valid_until = started + self._timing.lease_seconds
+        self._valid_until = started + self._lease_seconds
 
     def _revoke(self, lease_id):
         # A lease that cannot be revoked expires by itself.
--- a/rattanworks/tests/roles/base_tests.py
+++ b/rattanworks/tests/roles/base_tests.py
@@ -7,7 +7,12 @@
 from rattanworks.exceptions import HistoryLostError, StoreConflictError
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles import base
-from rattanworks.roles.base import DEFAULT_TIMING, LeasedRole, LeaseTiming
+from rattanworks.roles.base import (
+    DEFAULT_TIMING,
+    FAST_TIMING,
+    LeasedRole,
+    LeaseTiming,
+)
 from rattanworks.roles.candidates import candidates, needed_slots
 from rattanworks.standins.store import MemoryStore
 from rattanworks.tests.fakes import FakeClock, FakeStore
@@ -63,6 +68,61 @@
         self._kept_after = self.list("").revision + 1
 
 
+class SlowStore(FakeStore):
+    """Answers each call ``seconds`` after it was carried out, by a FakeClock."""
+
+    def __init__(self, clock, seconds):
+        super().__init__(MemoryStore(clock.monotonic))
+        self._clock = clock
+        self._seconds = seconds
+
+    def _answer(self, call, *arguments):
+        try:
+            return call(*arguments)
+        finally:
+            self._clock.advance(self._seconds)
+
+    def list(self, prefix):
+        return self._answer(super().list, prefix)
+
+    def write_all(self, writes):
+        return self._answer(super().write_all, writes)
+
+    def grant_lease(self, ttl):
+        return self._answer(super().grant_lease, ttl)
+
+    def renew_lease(self, lease_id):
+        return self._answer(super().renew_lease, lease_id)
+
+    def revoke_lease(self, lease_id):
+        return self._answer(super().revoke_lease, lease_id)
+
+
+class SlowStoreTests(unittest.TestCase):
+    """A role with a short lease at a store that takes long to answer."""
+
+    STEPS = 40
+
+    def test_a_role_is_held_at_a_store_whose_answers_take_long_for_its_lease(self):
+        for timing in (FAST_TIMING, DEFAULT_TIMING):
+            for seconds in (0.25, 0.5, 0.75, 1.0, 1.9):
+                with self.subTest(timing=timing, seconds=seconds):
+                    self.hold(timing, seconds)
+
+    def hold(self, timing, seconds):
+        clock = FakeClock()
+        store = SlowStore(clock, seconds)
+        role = LeasedRole(store, KEY, b"one", clock, timing=timing)
+        held_at_calls, terms = [], set()
+        role.on_held = lambda: held_at_calls.append(role.is_held)
+        for _ in range(self.STEPS):
+            pause = role.step()
+            terms.add(role.term)
+            clock.advance(pause)
+        self.assertEqual(held_at_calls, [True] * self.STEPS)
+        self.assertEqual(len(terms), 1)
+
+
 class LeasedRoleTests(unittest.TestCase):
     def setUp(self):
         self.clock = FakeClock()
