Believe a refusal without an id only as the first answer on its connection

What callers saw: a backend server that refused a call (503, X-Not-Executed, without an id), kept the connection, ran the next call and wrote the refusal once more ahead of its answer had the next call reported as not run. Callers of calls that are not idempotent were told "not run, try again", or the call was sent to a second server. An answer 421, and a notice that the server leaves, were taken over in the same way.

Cause: _belongs_to let any unsuccessful answer without an id pass for the call that waits. Bytes that arrive before a call is sent are noticed; later ones are not.

Evidence: RepeatedRefusalTests; four of its five tests failed before: 503 instead of the server's own 200, no CallOutcomeUnknownError, CallMisdirectedError for a call that ran, and the notice of an earlier answer.

Why the fix works: on a connection that has carried no answer yet there is only one call to which a refusal can belong. Later an answer without an id is dropped like one with another id, and the next one is awaited; if the connection ends instead, the outcome is unknown. Two different ids in one answer belong to no call either. Each dropped answer is logged.

--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -16,11 +16,12 @@
     REQUEST_ID,
     SIGNATURE,
 )
-from rattanworks.platform.notices import read_notice
+from rattanworks.platform.notices import MAX_LOGGED_LENGTH, read_notice
 from rattanworks.ports.base import BackendServer
 from rattanworks.utils.headers import answer_headers
 from rattanworks.utils.http_connection import RequestOptions
 from rattanworks.utils.http_pool import HttpPool
+from rattanworks.utils.logging import log_event
 
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED_STATUS = 421
@@ -93,8 +94,23 @@
 
 
 def _belongs_to(answer, call):
-    answered_id = answer.header(REQUEST_ID.lower())
-    if not answered_id and answer.status not in SUCCESS_STATUSES:
-        # A server may refuse a request before it has read the request's id.
-        return True
-    return answered_id == call.request_id
+    """Return whether an answer belongs to the call; log one that does not."""
+    answered_ids = {value for name, value in answer.headers if _is_request_id(name)}
+    if not answered_ids and answer.status not in SUCCESS_STATUSES:
+        # A server may refuse a request before it has read the request's id. Later on
+        # a connection such an answer may be an earlier one, written again.
+        is_own = answer.is_first
+    else:
+        is_own = answered_ids == {call.request_id}
+    if not is_own:
+        log_event(
+            "backend-answer-dropped",
+            request_id=call.request_id,
+            answered_id=", ".join(sorted(answered_ids))[:MAX_LOGGED_LENGTH],
+            status=answer.status,
+        )
+    return is_own
+
+
+def _is_request_id(name):
+    return name.lower() == REQUEST_ID.lower()
--- a/rattanworks/tests/platform/backend_tests.py
+++ b/rattanworks/tests/platform/backend_tests.py
@@ -11,7 +11,7 @@
 from rattanworks.model.route import RouteKind
 from rattanworks.platform.backend import PlatformBackendServer
 from rattanworks.tests.builders import build_call
-from rattanworks.tests.servers import ScriptedServer
+from rattanworks.tests.servers import BrokenOff, ScriptedServer
 
 SIGNED = "X-Server-Signature: 3e1b.07\r\n"
 
@@ -23,7 +23,14 @@
     return head.encode() + body
 
 
-class PlatformBackendTests(unittest.TestCase):
+def refusal(request_id="", status="503 Busy", extra=""):
+    extra += "X-Not-Executed: 1\r\n"
+    if request_id:
+        return answer(b"", request_id, status, extra)
+    return f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n{extra}\r\n".encode()
+
+
+class BackendTestCase(unittest.TestCase):
     def start(self, *scripts):
         self.server = ScriptedServer(*scripts)
         self.addCleanup(self.server.close)
@@ -43,6 +50,8 @@
         }
         return self.backend.run(build_call(**{**fields, **changes}))
 
+
+class PlatformBackendTests(BackendTestCase):
     def test_the_server_gets_the_headers_that_the_system_sets(self):
         self.start([answer()])
         result = self.run_call(headers=(("Accept", "text/plain"),))
@@ -113,3 +122,48 @@
         self.start([b""])
         with self.assertRaises(CallAbandonedError):
             self.run_call(is_abandoned=lambda: True)
+
+
+class RepeatedRefusalTests(BackendTestCase):
+    """A server writes an earlier refusal again before the answer to a call it ran."""
+
+    def order(self, request_id):
+        return self.run_call(
+            request_id=request_id, kind=RouteKind.NON_IDEMPOTENT, method="POST"
+        )
+
+    def test_a_refusal_written_again_does_not_say_that_the_next_call_was_not_run(self):
+        for refused in (refusal(), refusal("r1")):
+            with self.subTest(refused):
+                self.start([refused, refused + answer(b"own", "r2")])
+                self.assertEqual(self.order("r1").outcome, Outcome.NOT_RUN)
+                result = self.order("r2")
+                self.assertEqual((result.status, result.body), (200, b"own"))
+                self.assertEqual(result.outcome, Outcome.DONE)
+
+    def test_a_refusal_written_again_and_no_answer_leave_the_outcome_unknown(self):
+        for refused in (refusal(), refusal("r1")):
+            with self.subTest(refused):
+                self.start([refused, BrokenOff(refused)])
+                self.order("r1")
+                with self.assertRaises(CallOutcomeUnknownError):
+                    self.order("r2")
+
+    def test_another_refusal_that_names_no_call_does_not_misdirect_the_next_one(self):
+        misdirected = refusal(status="421 Misdirected Request")
+        self.start([answer(), misdirected + answer(b"own", "r2")])
+        self.order("r1")
+        self.assertEqual(self.order("r2").body, b"own")
+
+    def test_a_refusal_written_again_gives_no_notice(self):
+        refused = refusal(extra="Server-Leaving: 1\r\n")
+        self.start([refused, refused + answer(b"own", "r2")])
+        self.assertTrue(self.order("r1").notice.is_leaving)
+        self.assertFalse(self.order("r2").notice.is_leaving)
+
+    def test_the_first_answer_on_a_connection_may_refuse_without_an_id(self):
+        self.start([refusal()], [refusal(status="421 Misdirected Request")])
+        self.assertEqual(self.order("r1").outcome, Outcome.NOT_RUN)
+        self.backend.close()
+        with self.assertRaises(CallMisdirectedError):
+            self.order("r2")
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -31,11 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """A whole HTTP response."""
+    """A whole HTTP response.
+
+    ``is_first`` tells that no other was received on its connection before it.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    is_first: bool = False
 
     def header(self, name, default=""):
         """Return the value of a header, by its lower-case name."""
@@ -183,6 +187,7 @@
         apply_liveness(self.sock, DEFAULT_LIVENESS)
         self.reader = Reader(self.sock)
         self.is_reused = False
+        self.answers_received = 0
         self.usable_until = float("inf")
         self._has_long_unread_timeout = False
         self._host = host
@@ -200,6 +205,7 @@
         response = http.client.HTTPResponse(self.reader, method=method)
         response.begin()
         self.reader.begin_body()
+        self.answers_received += 1
         return response
 
     def set_unread_timeout(self, seconds):
@@ -303,11 +309,11 @@
         )
 
 
-def read_whole(response, method, may_end_by_close, bounds):
+def read_whole(response, method, may_end_by_close, bounds, is_first=False):
     """Return the HttpAnswer of a response; raise HTTPException when it is cut.
 
     Raise as AnswerReservation.require does when the body exceeds ``bounds``.
-    ``may_end_by_close`` is as in RequestOptions.
+    ``may_end_by_close`` is as in RequestOptions, ``is_first`` as in HttpAnswer.
     """
     reservation = AnswerReservation(bounds)
     reservation.require_allowed(response.length or 0)
@@ -316,7 +322,7 @@
     is_framed = response.chunked or response.getheader("Content-Length") is not None
     if not is_framed and not is_bodiless and not may_end_by_close:
         raise http.client.HTTPException("the answer's end cannot be told from a cut")
-    return HttpAnswer(response.status, tuple(response.getheaders()), content)
+    return HttpAnswer(response.status, tuple(response.getheaders()), content, is_first)
 
 
 def _pieces_of(response):
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -140,7 +140,11 @@
                     f"status {response.status} is not final"
                 )
             answer = read_whole(
-                response, method, options.may_end_by_close, self._bounds
+                response,
+                method,
+                options.may_end_by_close,
+                self._bounds,
+                is_first=connection.answers_received == 1,
             )
             if options.is_own_answer is None or options.is_own_answer(answer):
                 return answer, not response.will_close
