Take no answer for whole whose head breaks off

What callers saw: a backend server that stopped in the middle of its answer's head and closed the connection had its answer passed on as 200 with an empty body, framed as whole. From the store, a head that broke off after its length counted as "no such record", "no such lease", "history dropped" or "nothing was done".

Cause: http.client takes the end of the stream for the end of a head, and for the end of trailers; a chunk's size line that breaks off counts as a smaller size.

Evidence: the new tests cut whole answers after each byte.

Why the fix works: all of these lines are read by Reader.readline, which now raises unless the line has its end; only a stream that ends before the answer's first byte is still reported as such, since an idle connection may end in that way.

--- a/rattanworks/tests/platform/backend_tests.py
+++ b/rattanworks/tests/platform/backend_tests.py
@@ -88,6 +88,15 @@
         with self.assertRaises(CallOutcomeUnknownError):
             self.run_call()
 
+    def test_a_success_whose_head_breaks_off_is_no_empty_answer(self):
+        head = answer(b"", length=-1, extra=SIGNED + "Connection: close\r\n")
+        after_signature = head.index(SIGNED.encode()) + len(SIGNED)
+        cut = [head[:end] for end in range(after_signature, len(head))]
+        self.start(*[[BrokenOff(raw)] for raw in cut])
+        for raw in cut:
+            with self.subTest(raw), self.assertRaises(CallOutcomeUnknownError):
+                self.run_call()
+
     def test_a_late_answer_to_an_earlier_call_is_dropped(self):
         self.start([answer(b"late", "r0") + answer(b"own"), answer(b"next", "r2")])
         self.assertEqual(self.run_call().body, b"own")
--- a/rattanworks/tests/platform/store_tests.py
+++ b/rattanworks/tests/platform/store_tests.py
@@ -29,7 +29,7 @@
 from rattanworks.ports.base import ABSENT, Write
 from rattanworks.tests.platform.builders import build_configuration
 from rattanworks.tests.platform.standins import StandInPlatformStore
-from rattanworks.tests.servers import ScriptedServer, raw_answer
+from rattanworks.tests.servers import BrokenOff, ScriptedServer, raw_answer
 from rattanworks.utils.codec import decode_json, encode_json
 
 
@@ -196,6 +196,35 @@
         self.assertTrue(json.dumps(self.platform.calls))
 
 
+class BrokenOffHeadTests(unittest.TestCase):
+    """An answer whose head breaks off says nothing of a record, lease or write."""
+
+    def start(self, whole):
+        """Start a store whose answers lack the last line of their head."""
+        server = ScriptedServer([BrokenOff(whole.removesuffix(b"\r\n"))])
+        self.addCleanup(server.close)
+        self.store = PlatformStore(server.address, "mesh", 5.0, 1.0)
+        self.addCleanup(self.store.close)
+
+    def test_a_broken_404_does_not_mean_that_record_or_lease_is_gone(self):
+        self.start(raw_answer(b"", status="404 Not Found"))
+        with self.assertRaises(StoreUnavailableError):
+            self.store.get("roles/a")
+        with self.assertRaises(StoreAnswerLostError):
+            self.store.renew_lease("7")
+
+    def test_a_broken_410_does_not_mean_that_history_is_lost(self):
+        self.start(raw_answer(b"", status="410 Gone"))
+        with self.assertRaises(StoreUnavailableError) as raised:
+            self.store.watch(SHARED_PREFIX, 1, 0.0)
+        self.assertNotIsInstance(raised.exception, HistoryLostError)
+
+    def test_a_broken_refusal_does_not_mean_that_a_write_was_not_made(self):
+        self.start(raw_answer(b"", status="503 Service Unavailable"))
+        with self.assertRaises(StoreAnswerLostError):
+            self.store.put("roles/a", b"x", ABSENT)
+
+
 class GarbledAnswerTests(unittest.TestCase):
     @settings(max_examples=60, deadline=None)
     @given(st.binary(max_size=200))
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -23,6 +23,7 @@
 # the request head that operators allow (maxHeaderBytes, 16 KiB). The size lines and
 # trailers of a chunked body may take as much again, plus one byte per byte of data.
 MAX_LINES_BYTES = 64 * 1024
+MAX_SHOWN_BYTES = 60
 # Used when a server does not announce how long it keeps idle connections.
 DEFAULT_IDLE_SECONDS = 300.0
 MIN_TIMEOUT_SECONDS = 0.001
@@ -87,6 +88,7 @@
         self._buffer = bytearray()
         self._options = None
         self._line_bytes_left = 0
+        self._has_begun = False
         self._next_check = 0.0
         self.received = 0
 
@@ -96,6 +98,7 @@
         self._sock.setblocking(False)
         self._options = options
         self._line_bytes_left = MAX_LINES_BYTES
+        self._has_begun = False
         self.received = 0
 
     def begin_body(self):
@@ -112,9 +115,10 @@
         return self
 
     def readline(self, limit):
-        """Return a line of at most ``limit`` bytes, fewer at the end of the stream.
+        """Return a line, nothing when the stream ends before the answer.
 
-        Raise AnswerTooLargeError when the answer's lines exceed MAX_LINES_BYTES.
+        Raise AnswerTooLargeError when the answer's lines exceed MAX_LINES_BYTES, and
+        IncompleteRead when no line end comes within ``limit`` bytes.
         """
         limit = min(limit, self._line_bytes_left + 1)
         end = self._buffer.find(b"\n", 0, limit)
@@ -127,6 +131,10 @@
                 f"the answer has more than {MAX_LINES_BYTES} bytes of lines outside "
                 "its data; look at the server"
             )
+        # http.client takes the end of the stream for the end of a head or of trailers.
+        if end < 0 and (line or self._has_begun):
+            raise http.client.IncompleteRead(line[:MAX_SHOWN_BYTES])
+        self._has_begun = True
         return line
 
     def read(self, size):
