Refuse answers whose head or chunks can be read in more than one way

What callers would see: a backend server with a malformed line in its head (no colon, a space before it, a bare CR) lost all headers after that line, its length, its request id or X-Not-Executed among them: a 200 without a length took whatever came until the close for its body, and a refusal without its proof was passed on as 503 all the same, which promises callers that nothing ran. Signed, negative, repeated or unreadable lengths, other encodings, chunk sizes such as -0, +2, 0x2 or 0_2 and bytes in place of a chunk's line end were guessed at in the same way, so that bodies came out short, with bytes of another answer, or with chunk sizes in them.

Cause: http.client is lenient. email.parser ends the headers at the first line that it cannot read, int() reads more than digits, and a length that it cannot read counts as none.

Evidence: AmbiguousAnswerTests and test_headers_after_a_malformed_line_are_not_lost_unnoticed.

Why the fix works: each line of a head is checked before http.client sees it, a head may tell the body's end only once and in digits, and chunks are read by strict patterns, in one module that all HTTP exchanges with backend servers and stores go through. What sound servers may write stays readable: bare LF in a head, a status line without a reason, chunk extensions, trailers, bytes above 127 in values. An answer that fails a check has an unknown outcome and ends its connection.

--- a/rattanworks/bench/traffic_load.py
+++ b/rattanworks/bench/traffic_load.py
@@ -10,7 +10,7 @@
 from rattanworks.exceptions import CallNotSentError, CallOutcomeUnknownError
 from rattanworks.settings.node import HostSettings
 from rattanworks.utils.codec import DecodeError, decode_json
-from rattanworks.utils.http_connection import HttpAnswer
+from rattanworks.utils.http_answers import HttpAnswer
 from rattanworks.utils.http_pool import HttpPool
 
 CONNECTIONS_PER_ADDRESS = 2
--- a/rattanworks/tests/platform/backend_tests.py
+++ b/rattanworks/tests/platform/backend_tests.py
@@ -97,6 +97,17 @@
             with self.subTest(raw), self.assertRaises(CallOutcomeUnknownError):
                 self.run_call()
 
+    def test_headers_after_a_malformed_line_are_not_lost_unnoticed(self):
+        broken = answer(b"", status="503 Busy", extra="X-A\r\nX-Not-Executed: 1\r\n")
+        self.start([broken])
+        with self.assertRaises(CallOutcomeUnknownError):
+            self.run_call(kind=RouteKind.NON_IDEMPOTENT, method="POST")
+
+    def test_an_answer_with_two_ids_belongs_to_no_call(self):
+        self.start([BrokenOff(answer(extra=SIGNED + "X-Request-Id: r0\r\n"))])
+        with self.assertRaises(CallOutcomeUnknownError):
+            self.run_call()
+
     def test_a_late_answer_to_an_earlier_call_is_dropped(self):
         self.start([answer(b"late", "r0") + answer(b"own"), answer(b"next", "r2")])
         self.assertEqual(self.run_call().body, b"own")
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from rattanworks.exceptions import AnswerTooLargeError, CallAbandonedError
-from rattanworks.utils.answer_limits import AnswerReservation, collect
+from rattanworks.utils.http_answers import MAX_SHOWN_BYTES, PIECE_BYTES, read_head
 from rattanworks.utils.sockets import (
     DEFAULT_LIVENESS,
     apply_liveness,
@@ -18,36 +18,13 @@
 MILLISECONDS_PER_SECOND = 1000
 # Bodies up to this size are sent with one blocking write.
 SINGLE_WRITE_BYTES = 16 * 1024
-PIECE_BYTES = 64 * 1024
 # Limit of an answer's head together with all interim heads before it: four times
 # the request head that operators allow (maxHeaderBytes, 16 KiB). The size lines and
 # trailers of a chunked body may take as much again, plus one byte per byte of data.
 MAX_LINES_BYTES = 64 * 1024
-MAX_SHOWN_BYTES = 60
 # Used when a server does not announce how long it keeps idle connections.
 DEFAULT_IDLE_SECONDS = 300.0
 MIN_TIMEOUT_SECONDS = 0.001
-BODILESS_STATUSES = frozenset({204, 304})
-
-
-@dataclass(frozen=True, slots=True)
-class HttpAnswer:
-    """A whole HTTP response.
-
-    ``is_first`` tells that no other was received on its connection before it.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    is_first: bool = False
-
-    def header(self, name, default=""):
-        """Return the value of a header, by its lower-case name."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return default
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +55,8 @@
     """Reads a connection through one buffer that is kept from answer to answer.
 
     Bytes that a server sends after an answer are noticed this way; http.client
-    would discard them with its buffer of that answer. The reader has the file
-    methods that http.client uses. ``received`` counts the bytes received since
-    begin_answer.
+    would discard them with its buffer of that answer. ``received`` counts the bytes
+    received since begin_answer.
     """
 
     def __init__(self, sock):
@@ -110,11 +86,7 @@
         """Return whether bytes were received but not read yet."""
         return bool(self._buffer)
 
-    def makefile(self, mode):
-        """Return this reader as the file from which http.client reads an answer."""
-        return self
-
-    def readline(self, limit):
+    def readline(self, limit=MAX_LINES_BYTES + 1):
         """Return a line, nothing when the stream ends before the answer.
 
         Raise AnswerTooLargeError when the answer's lines exceed MAX_LINES_BYTES, and
@@ -139,9 +111,6 @@
 
     def read(self, size):
         """Return ``size`` bytes, fewer at the end of the stream."""
-        if size < 0:
-            # http.client accepts a minus sign in the size of a chunk.
-            raise http.client.HTTPException(f"a chunk has the size {size}")
         while len(self._buffer) < size and self._receive():
             pass
         content = self._take(size)
@@ -180,12 +149,6 @@
         del self._buffer[:size]
         return content
 
-    def flush(self):
-        """Do nothing: there is nothing to write."""
-
-    def close(self):
-        """Do nothing: the connection outlives its answers."""
-
 
 class Connection:
     """One connection: its socket and its read buffer."""
@@ -210,8 +173,7 @@
     def next_response(self, method, options):
         """Return the next response after its head was read."""
         self.reader.begin_answer(options)
-        response = http.client.HTTPResponse(self.reader, method=method)
-        response.begin()
+        response = read_head(self.reader, method)
         self.reader.begin_body()
         self.answers_received += 1
         return response
@@ -317,29 +279,6 @@
         )
 
 
-def read_whole(response, method, may_end_by_close, bounds, is_first=False):
-    """Return the HttpAnswer of a response; raise HTTPException when it is cut.
-
-    Raise as AnswerReservation.require does when the body exceeds ``bounds``.
-    ``may_end_by_close`` is as in RequestOptions, ``is_first`` as in HttpAnswer.
-    """
-    reservation = AnswerReservation(bounds)
-    reservation.require_allowed(response.length or 0)
-    content = collect(_pieces_of(response), reservation)
-    is_bodiless = method == "HEAD" or response.status in BODILESS_STATUSES
-    is_framed = response.chunked or response.getheader("Content-Length") is not None
-    if not is_framed and not is_bodiless and not may_end_by_close:
-        raise http.client.HTTPException("the answer's end cannot be told from a cut")
-    return HttpAnswer(response.status, tuple(response.getheaders()), content, is_first)
-
-
-def _pieces_of(response):
-    while piece := response.read(PIECE_BYTES):
-        yield piece
-    if response.length:
-        raise http.client.IncompleteRead(b"", response.length)
-
-
 def has_input(sock):
     """Return whether a read would not block, also at the end of the stream."""
     # An idle connection that is readable was closed by the server or carries a
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -10,12 +10,12 @@
     CallTimedOutError,
 )
 from rattanworks.utils.answer_limits import AnswerBounds
+from rattanworks.utils.http_answers import read_whole
 from rattanworks.utils.http_connection import (
     Connection,
     RequestOptions,
     has_input,
     idle_seconds,
-    read_whole,
     seconds_left,
     write_request,
 )
@@ -140,6 +140,7 @@
                     f"status {response.status} is not final"
                 )
             answer = read_whole(
+                connection.reader,
                 response,
                 method,
                 options.may_end_by_close,
