Pass on no status that means "not run" without its proof

What callers would see: a backend server that answers 503, 429 or 408 without X-Not-Executed may have run the call. The answer was passed on with its status, by which callers understand that nothing ran and never will, and send the call again.

Cause: without the header the outcome counted as done, but the status was kept.

Evidence: test_a_status_that_means_not_run_is_not_passed_on_without_its_proof failed for each of the three statuses before (no CallOutcomeUnknownError).

Why the fix works: such an answer is an unknown outcome, so callers get 502, which promises nothing, and idempotent calls are still tried elsewhere.

test_only_the_not_executed_header_proves_that_a_call_did_not_run took a 503 without the header for done; it now shows this with 500, and the new test requires more of 503.

--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -26,6 +26,8 @@
 MILLISECONDS_PER_SECOND = 1000
 MISDIRECTED_STATUS = 421
 SUCCESS_STATUSES = range(200, 300)
+# By these callers understand that their call was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 
 
 class PlatformBackendServer(BackendServer):
@@ -77,6 +79,11 @@
                 "repeat the call only if it is idempotent"
             )
         is_not_run = not is_success and bool(answer.header(NOT_EXECUTED.lower()))
+        if answer.status in NOT_RUN_STATUSES and not is_not_run:
+            raise CallOutcomeUnknownError(
+                f"{self._pool.address} answered {answer.status} but does not say that "
+                "it did not run the call; repeat the call only if it is idempotent"
+            )
         return Answer(
             status=answer.status,
             headers=answer_headers(answer.headers, is_head=call.method == "HEAD"),
