Qualify revisions by the era of the store, and watch anew after a restore

Callers would see a version that was confirmed and is not in force: the platform's store may return from a copy some seconds old, and then gives out the same revisions again. A watch continues from the revision that it knew. If the store has passed that revision again before the watch is renewed, it answers as usual, and what was written in between is never seen; a watch that waits across the return doesn't even end. Nothing read the header Store-Era.

The adapter now observes the era in every answer. Revisions carry it in their upper bits, as a transaction id of ZooKeeper does, so that a later era's are always higher and none comes twice. A watch from an earlier era is HistoryLost, and so all is read again; the watcher leaves a watch that still waits. An answer of an earlier era that comes late is not used, nor is a list whose pages are of two eras.

Evidence: the stand-in of the platform's store can return to a copy.

--- a/rattanworks/distribution/watcher.py
+++ b/rattanworks/distribution/watcher.py
@@ -37,10 +37,12 @@
         self._stopped = threading.Event()
         self._lock = threading.Lock()
         self._is_watching = False
+        self._watch_number = 0
         self._revision = 0
         self._backoff = FullJitterBackoff(RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
         self.on_head = lambda head: None
         role.on_held = self._start_thread
+        store.add_restore_listener(self._handle_restore)
 
     def start(self):
         """Start to compete for the role and to watch while holding it."""
@@ -58,11 +60,26 @@
             if self._is_watching:
                 return
             self._is_watching = True
-        threading.Thread(target=self._run, name="watcher", daemon=True).start()
-
-    def _run(self):
+            self._watch_number += 1
+            number = self._watch_number
+        threading.Thread(
+            target=self._run, args=(number,), name="watcher", daemon=True
+        ).start()
+
+    def _handle_restore(self):
+        # A watch that waits at a revision of before the restore may wait until it times
+        # out, though there are changes: another thread reads all records again.
+        with self._lock:
+            was_watching, self._is_watching = self._is_watching, False
+            self._watch_number += 1
+        if was_watching:
+            log_event("watch-abandoned", role=self.role.key, reason="store-restored")
+        if self.role.is_held:
+            self._start_thread()
+
+    def _run(self, number):
         self._revision = 0
-        while self._update_is_watching():
+        while self._update_is_watching(number):
             try:
                 self.watch_once()
                 self._backoff.reset()
@@ -73,8 +90,10 @@
                 log_event("watch-failed", reason=str(error))
                 self._stopped.wait(self._backoff.next_delay())
 
-    def _update_is_watching(self):
+    def _update_is_watching(self, number):
         with self._lock:
+            if number != self._watch_number:
+                return False
             self._is_watching = self.role.is_held and not self._stopped.is_set()
             return self._is_watching
 
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -20,9 +20,17 @@
     StoreConflictError,
     StoreUnavailableError,
 )
+from rattanworks.platform.era import EraTracker
 from rattanworks.platform.names import render_duration
 from rattanworks.platform.records import RecordTranslator
-from rattanworks.ports.base import ABSENT, StoreEntry, WatchEvent
+from rattanworks.ports.base import (
+    ABSENT,
+    StoreEntry,
+    WatchEvent,
+    era_of,
+    number_of,
+    qualified_revision,
+)
 from rattanworks.utils.codec import JSON_HEADERS, encode_json
 
 # The answer to a watch may take this much longer than the watch itself.
@@ -81,6 +89,16 @@
         super().__init__(address, timeout)
         self._translator = RecordTranslator(f"{prefix}/")
         self._min_lease_seconds = min_lease_seconds
+        self._eras = EraTracker()
+
+    @property
+    def era(self):
+        """Return the latest era that an answer of the store has shown."""
+        return self._eras.latest
+
+    def add_restore_listener(self, listener):
+        """Call ``listener`` when an answer shows a later era than the ones before."""
+        self._eras.add_listener(listener)
 
     def get(self, key):
         """Return the StoreEntry at ``key`` or None."""
@@ -92,46 +110,59 @@
             return None
         item = decode_answer(answer, _Item)
         return StoreEntry(
-            key, self._translator.product_value(key, item.value), item.revision
+            key,
+            self._translator.product_value(key, item.value),
+            qualified_revision(self._eras.era_of(answer), item.revision),
         )
 
     def list(self, prefix):
         """Return the entries whose keys start with ``prefix``."""
-        items, revision = [], None
+        items, revisions = [], []
         for wire_prefix in self._translator.wire_prefixes(prefix):
-            found, found_revision = self._read_range(wire_prefix)
+            found, revision = self._read_range(wire_prefix)
             items += found
-            # The lowest revision: a watch from there reports again what changed
-            # between the reads, so that no change is missed.
-            revision = (
-                found_revision if revision is None else min(revision, found_revision)
-            )
-        return WatchEvent(self._entries(items, prefix), revision)
+            revisions.append(revision)
+        # The lowest revision: a watch from there reports again what changed between
+        # the reads, so that no change is missed.
+        revision = min(revisions)
+        self._require_one_era(revisions)
+        return WatchEvent(self._entries(items, prefix, era_of(revision)), revision)
 
     def _read_range(self, wire_prefix):
-        items, after, revision = [], "", None
+        items, after, revisions = [], "", []
         for _ in range(MAX_PAGES):
             query = {"prefix": wire_prefix, **({"after": after} if after else {})}
-            page = decode_answer(
-                self._read(f"/rattanworks/kv-range?{urlencode(query)}"), _Page
-            )
+            answer = self._read(f"/rattanworks/kv-range?{urlencode(query)}")
+            page = decode_answer(answer, _Page)
             items += page.items
-            revision = page.store_revision if revision is None else revision
+            era = self._eras.era_of(answer)
+            revisions.append(qualified_revision(era, page.store_revision))
             if not page.has_more or not page.items:
-                return items, revision
+                self._require_one_era(revisions)
+                return items, revisions[0]
             after = page.items[-1].key
         raise StoreUnavailableError(
             f"the records under {wire_prefix} have too many pages"
         )
 
+    def _require_one_era(self, revisions):
+        if len({era_of(revision) for revision in revisions}) > 1:
+            raise StoreUnavailableError(
+                "the store returned from an older copy between the pages of a list; "
+                "read it again"
+            )
+
     def write_all(self, writes):
         """Make all the writes in one transaction or none."""
         answer = self._write_json("/rattanworks/kv-txn", self._transaction(writes))
         if answer.status == CONFLICT_STATUS:
-            raise self._conflict_error(writes, decode_answer(answer, _Conflict).items)
+            raise self._conflict_error(writes, answer)
         if answer.status == NOT_FOUND_STATUS:
             raise LeaseLostError("the lease has expired; acquire it again")
-        revision = decode_write_answer(answer, _Written).revision
+        revision = qualified_revision(
+            self._eras.era_of(answer),
+            decode_write_answer(answer, _Written).revision,
+        )
         return tuple(StoreEntry(write.key, write.value, revision) for write in writes)
 
     def _transaction(self, writes):
@@ -139,7 +170,7 @@
         keyed_writes = list(zip(wire_keys, writes, strict=True))
         return {
             "expect": [
-                {"key": wire_key, "revision": write.expected_revision}
+                {"key": wire_key, "revision": number_of(write.expected_revision)}
                 for wire_key, write in keyed_writes
             ],
             "writes": [
@@ -156,8 +187,12 @@
             ],
         }
 
-    def _conflict_error(self, writes, items):
-        revisions_by_key = {item.key: item.revision for item in items}
+    def _conflict_error(self, writes, answer):
+        era = self._eras.era_of(answer)
+        revisions_by_key = {
+            item.key: qualified_revision(era, item.revision)
+            for item in decode_answer(answer, _Conflict).items
+        }
         for write in writes:
             wire_key = self._translator.wire_key(write.key)
             actual = revisions_by_key.get(wire_key, ABSENT)
@@ -172,19 +207,34 @@
 
     def watch(self, prefix, after_revision, timeout):
         """Wait up to ``timeout`` seconds for changes."""
+        self._require_watchable(after_revision, self.era)
         seconds = min(timeout, MAX_WATCH_SECONDS)
         query = urlencode(
             {
                 "prefix": _common_prefix(self._translator.wire_prefixes(prefix)),
-                "after": after_revision,
+                "after": number_of(after_revision),
                 "waitMs": round(seconds * 1000),
             }
         )
         answer = self._read(
             f"/rattanworks/kv-watch?{query}", seconds + WATCH_GRACE_SECONDS
         )
+        era = self._eras.era_of(answer)
+        self._require_watchable(after_revision, era)
         events = decode_answer(answer, _Events)
-        return WatchEvent(self._entries(events.items, prefix), events.store_revision)
+        return WatchEvent(
+            self._entries(events.items, prefix, era),
+            qualified_revision(era, events.store_revision),
+        )
+
+    def _require_watchable(self, revision, era):
+        # The store may have passed the revision again since it returned from an older
+        # copy, with other changes.
+        if era_of(revision) != era:
+            raise HistoryLostError(
+                "the store returned from an older copy after this revision; "
+                "read all again"
+            )
 
     def grant_lease(self, ttl):
         """Return the id of a new lease of ``ttl`` seconds, or the shortest allowed."""
@@ -219,7 +269,7 @@
             entry = self.get_kept(key)
         return entry
 
-    def _entries(self, items, prefix):
+    def _entries(self, items, prefix, era):
         entries = []
         for item in items:
             key = self._translator.product_key(item.key)
@@ -230,13 +280,19 @@
                 if item.is_deleted
                 else self._translator.product_value_or_raw(key, item.value)
             )
-            entries.append(StoreEntry(key, value, item.revision))
+            revision = qualified_revision(era, item.revision)
+            entries.append(StoreEntry(key, value, revision))
         return tuple(entries)
 
     def _write_json(self, target, content):
         return self._write("POST", target, body=encode_json(content))
 
     def _check_status(self, answer, method):
+        if not self._eras.observe(answer):
+            raise CallOutcomeUnknownError(
+                "the answer is of a time before the store returned from an older copy; "
+                "read again"
+            )
         if answer.status == HISTORY_LOST_STATUS:
             raise HistoryLostError("the store dropped these changes; read all again")
         if answer.status in REFUSED_STATUSES:
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -4,6 +4,28 @@
 from dataclasses import dataclass
 
 ABSENT = 0
+# Bits of a revision that count the changes within an era; the bits above are the era.
+REVISION_BITS = 40
+
+
+def qualified_revision(era, number):
+    """Return the revision of the change ``number`` of an era.
+
+    An era begins when a store returns from an older copy of its records, after which
+    it gives out the same numbers again. Revisions of a later era are higher than all
+    those of the earlier ones. A store that counts no eras stays in era 0.
+    """
+    return era << REVISION_BITS | number
+
+
+def era_of(revision):
+    """Return the era of a revision."""
+    return revision >> REVISION_BITS
+
+
+def number_of(revision):
+    """Return the number of a revision within its era."""
+    return revision & ((1 << REVISION_BITS) - 1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,8 +72,27 @@
 
     Every method raises StoreUnavailableError when the store did not accept the
     request; writes raise StoreAnswerLostError when they may have taken effect.
+
+    A store may return from an older copy of its records: what was written since is
+    lost, and so are all leases. Revisions are qualified by the era in which they were
+    read (see ``qualified_revision``). Those of an earlier era cannot be watched
+    (HistoryLostError) or expected by a write (StoreConflictError), and leases of an
+    earlier era have ended (LeaseLostError).
     """
 
+    @property
+    def era(self):
+        """Return the latest era that an answer of the store has shown."""
+        return 0
+
+    def add_restore_listener(self, listener):
+        """Call ``listener`` when an answer shows a later era than the ones before.
+
+        It is called on the thread that makes the request, and may not wait. A store
+        that counts no eras never calls it.
+        """
+        return
+
     @abc.abstractmethod
     def get(self, key):
         """Return the StoreEntry at ``key`` or None."""
--- a/rattanworks/standins/store.py
+++ b/rattanworks/standins/store.py
@@ -173,6 +173,32 @@
             self._entries_by_key = {entry.key: entry for entry in entries}
             self._revision = revision
 
+    def copy(self):
+        """Return the records and the revision, for a later ``restore``.
+
+        The copy has no leases: records attached to one are left out.
+        """
+        with self._changed:
+            self._expire_leases()
+            leased = {
+                key for lease in self._leases_by_id.values() for key in lease.keys
+            }
+            entries = tuple(
+                entry
+                for key, entry in self._entries_by_key.items()
+                if key not in leased
+            )
+            return WatchEvent(entries, self._revision)
+
+    def restore_copy(self, copy):
+        """Return to the records and the revision of a ``copy``, without any lease.
+
+        Watches that wait go on from the revision that they were given.
+        """
+        with self._changed:
+            self._leases_by_id.clear()
+            self.restore(copy.entries, copy.revision)
+
     def _get_live(self, key):
         entry = self._entries_by_key.get(key)
         return entry if entry and entry.value is not None else None
--- /dev/null
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -0,0 +1,166 @@
+"""The store returns from an older copy and gives out the same revisions again."""
+
+import contextlib
+import threading
+import unittest
+
+from rattanworks.adapters.system_clock import SystemClock
+from rattanworks.bench.fleet import wait_until
+from rattanworks.distribution.keys import HEAD, SHARED_PREFIX
+from rattanworks.distribution.watcher import Watcher
+from rattanworks.exceptions import HistoryLostError, StoreUnavailableError
+from rattanworks.platform.store import PlatformStore
+from rattanworks.ports.base import ABSENT
+from rattanworks.roles.base import LeasedRole
+from rattanworks.tests.platform.builders import build_configuration
+from rattanworks.tests.platform.standins import StandInPlatformStore
+from rattanworks.utils.precedence_table import PrecedenceTable
+
+LIMIT_SECONDS = 20.0
+
+
+class RestoredStoreTestCase(unittest.TestCase):
+    def setUp(self):
+        self.platform = StandInPlatformStore()
+        self.addCleanup(self.platform.close)
+        self.store = self.new_store()
+
+    def new_store(self):
+        store = PlatformStore(self.platform.address, "mesh", 5.0, 1.0)
+        self.addCleanup(store.close)
+        return store
+
+    def write_others(self, count):
+        """Write records of others, as when the store passes revisions again."""
+        for number in range(count):
+            self.platform.write_as_operator(f"servers/{number}", b"x")
+
+
+class EraTests(RestoredStoreTestCase):
+    def test_a_later_era_is_told_once(self):
+        told = []
+        self.store.add_restore_listener(lambda: told.append(self.store.era))
+        self.store.get("a")
+        copy = self.platform.copy()
+        self.platform.restore(copy)
+        for _ in range(3):
+            self.store.get("a")
+        self.assertEqual(told, [2])
+
+    def test_any_answer_shows_a_later_era(self):
+        for status in (404, 410, 429, 503):
+            self.store.get("a")
+            era = self.store.era
+            self.platform.restore(self.platform.copy())
+            self.platform.next_statuses = [status]
+            with self.subTest(status=status):
+                with contextlib.suppress(HistoryLostError, StoreUnavailableError):
+                    self.store.list(SHARED_PREFIX)
+                self.assertEqual(self.store.era, era + 1)
+
+    def test_revisions_given_out_again_are_higher_than_before(self):
+        copy = self.platform.copy()
+        self.write_others(20)
+        lost = self.store.put("a", b"one", ABSENT)
+        self.platform.restore(copy)
+        again = self.store.put("a", b"two", ABSENT)
+        self.assertGreater(again.revision, lost.revision)
+        self.assertEqual(self.store.get("a"), again)
+
+    def test_a_late_answer_of_an_earlier_era_is_not_used(self):
+        self.platform.write_as_operator("mesh/a", b"older")
+        arrived, released = threading.Event(), threading.Event()
+
+        def hold(path):
+            if not arrived.is_set():
+                arrived.set()
+                released.wait(LIMIT_SECONDS)
+
+        self.platform.hold_answer = hold
+        errors = []
+
+        def read():
+            try:
+                self.store.get("a")
+            except StoreUnavailableError as error:
+                errors.append(error)
+
+        late = threading.Thread(target=read)
+        late.start()
+        arrived.wait(LIMIT_SECONDS)
+        self.platform.restore(self.platform.copy())
+        self.store.get("a")
+        released.set()
+        late.join(LIMIT_SECONDS)
+        self.assertEqual(len(errors), 1)
+
+    def test_pages_of_two_eras_make_no_list(self):
+        for number in range(10):
+            self.store.put(f"roles/{number}", b"x", ABSENT)
+        copy = self.platform.copy()
+        pages = []
+
+        def restore_after_second_page(path):
+            pages.append(path)
+            if len(pages) == 2:
+                self.platform.restore(copy)
+
+        self.platform.hold_answer = restore_after_second_page
+        with self.assertRaises(StoreUnavailableError):
+            self.store.list("roles/")
+        self.assertEqual(len(self.store.list("roles/").entries), 10)
+
+    def test_a_revision_that_the_store_has_passed_again_cannot_be_watched(self):
+        copy = self.platform.copy()
+        self.write_others(5)
+        revision = self.store.list(SHARED_PREFIX).revision
+        self.platform.restore(copy)
+        self.platform.write_as_operator("op/config", build_configuration())
+        self.write_others(10)
+        with self.assertRaises(HistoryLostError):
+            self.store.watch(SHARED_PREFIX, revision, 0.0)
+
+
+class RestoredWatcherTests(RestoredStoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.role = LeasedRole(self.store, "roles/watcher/a/0", b"one", SystemClock())
+        services = PrecedenceTable(lambda state: state.service)
+        self.watcher = Watcher(self.role, self.store, services)
+        self.addCleanup(self.watcher.stop)
+        self.versions = []
+        self.watcher.on_head = lambda head: self.versions.append(head.version)
+
+    def watches_begun(self):
+        return self.platform.calls.count(("GET", "/rattanworks/kv-watch"))
+
+    def test_a_version_written_while_the_store_passes_the_cursor_again_is_seen(self):
+        copy = self.platform.copy()
+        self.write_others(5)
+        self.watcher.watch_once()
+        self.platform.restore(copy)
+        self.platform.write_as_operator("op/config", build_configuration())
+        self.write_others(10)
+        for _ in range(2):
+            try:
+                self.watcher.watch_once()
+            except HistoryLostError:
+                self.watcher._revision = 0
+        self.assertEqual(len(self.versions), 1)
+
+    def test_a_watch_that_waits_across_the_return_does_not_hide_changes(self):
+        copy = self.platform.copy()
+        self.write_others(5)
+        self.role.step()
+        wait_until(lambda: self.watches_begun(), LIMIT_SECONDS, "the watch waits")
+        self.platform.restore(copy)
+        self.platform.write_as_operator("op/config", build_configuration())
+        # The holder renews its lease, and its role is free again.
+        for _ in range(3):
+            self.role.step()
+        wait_until(lambda: self.versions, LIMIT_SECONDS / 2, "the version is seen")
+        self.assertIsNotNone(self.store.get(HEAD))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/rattanworks/tests/platform/standins.py
+++ b/rattanworks/tests/platform/standins.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import threading
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 from rattanworks.ports.base import ABSENT, Write
@@ -49,7 +50,9 @@
 
     ``next_statuses`` are the answers to the next calls, which are not carried out.
     With ``loses_answers`` writes are carried out but answered with 500. Watches from a
-    revision below ``kept_after`` are answered with 410, as if the history was dropped.
+    revision below ``kept_after``, or above the present one, are answered with 410.
+    ``restore`` returns to an earlier ``copy``; ``hold_answer`` is called with the path
+    of each call after it was carried out and before it is answered.
     """
 
     def __init__(self):
@@ -58,6 +61,8 @@
         self.loses_answers = False
         self.kept_after = 0
         self.calls = []
+        self.era = 1
+        self.hold_answer = lambda path: None
         self._lease_numbers = itertools.count(1)
         self._lease_ids_by_number = {}
         self._handlers_by_path = {
@@ -69,6 +74,17 @@
         }
         super().__init__()
 
+    def copy(self):
+        """Return a copy of all records but those with a lease, for ``restore``."""
+        return self.memory.copy()
+
+    def restore(self, copy):
+        """Lose all since a copy: revisions and lease numbers are given out again."""
+        self.memory.restore_copy(copy)
+        self._lease_numbers = itertools.count(1)
+        self._lease_ids_by_number = {}
+        self.era += 1
+
     def write_as_operator(self, key, value):
         """Write a record as the operator does; return its revision."""
         content = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -84,15 +100,25 @@
     def __call__(self, environ, start_response):
         path = path_of(environ)
         self.calls.append((environ["REQUEST_METHOD"], path))
+        response = self._answer(environ, path)
+        # The era of the answer is the one in which the call was carried out.
+        era = ("Store-Era", str(self.era))
+        self.hold_answer(path)
+        return respond(
+            start_response,
+            replace(response, headers=(*response.headers, era)),
+        )
+
+    def _answer(self, environ, path):
         if self.next_statuses:
-            return respond(start_response, Response(self.next_statuses.pop(0)))
+            return Response(self.next_statuses.pop(0))
         query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
         body = json.loads(read_body(environ) or b"{}")
         handler = self._handlers_by_path.get(path, self._lease_handler(path))
         response = handler(query, body)
         if self.loses_answers and environ["REQUEST_METHOD"] != "GET":
-            response = Response(500)
-        return respond(start_response, response)
+            return Response(500)
+        return response
 
     def _get_key(self, query, body):
         entry = self.memory.get(query["key"])
@@ -116,7 +142,7 @@
 
     def _watch(self, query, body):
         after = int(query["after"])
-        if after < self.kept_after:
+        if after < self.kept_after or after > self._revision():
             return Response(410)
         seconds = int(query["waitMs"]) / MILLISECONDS_PER_SECOND
         event = self.memory.watch(query.get("prefix", ""), after, seconds)
