Take leases of an earlier era of the store as ended

Callers would see versions late and moves that stand still: when the store returns from an older copy, leases and the records of roles are gone. A holder went on by its own clock until the next renewal, which asked for a lease by a number that the store may have given out again: it renewed the lease of another, and ending "its own" lease deleted the record of another holder.

A lease id now has the era in which it was granted; one of an earlier era is lost without a request, and an answer of a later era counts as the loss too. is_held is false as soon as any answer shows the return. The holder is woken and takes its role again in the same step, as nobody waits for the end of a record that is gone.

--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -17,6 +17,7 @@
     CallOutcomeUnknownError,
     HistoryLostError,
     LeaseLostError,
+    StoreAnswerLostError,
     StoreConflictError,
     StoreUnavailableError,
 )
@@ -38,6 +39,10 @@
 MAX_WATCH_SECONDS = 30.0
 MAX_PAGES = 1000
 
+NO_LEASE = 0
+# Between the era and the number of a lease: the store gives out numbers again.
+LEASE_SEPARATOR = "."
+
 DONE_STATUS = 200
 NOT_FOUND_STATUS = 404
 HISTORY_LOST_STATUS = 410
@@ -159,12 +164,23 @@
             raise self._conflict_error(writes, answer)
         if answer.status == NOT_FOUND_STATUS:
             raise LeaseLostError("the lease has expired; acquire it again")
-        revision = qualified_revision(
-            self._eras.era_of(answer),
-            decode_write_answer(answer, _Written).revision,
-        )
+        era = self._eras.era_of(answer)
+        self._require_written_in(writes, era)
+        number = decode_write_answer(answer, _Written).revision
+        revision = qualified_revision(era, number)
         return tuple(StoreEntry(write.key, write.value, revision) for write in writes)
 
+    def _require_written_in(self, writes, era):
+        # The store returned from its copy while the request was on its way.
+        try:
+            for write in writes:
+                if write.lease_id:
+                    self._require_lease_of(write.lease_id, era)
+        except LeaseLostError as error:
+            raise StoreAnswerLostError(
+                f"a write may have taken effect: {error}; read the record back"
+            ) from error
+
     def _transaction(self, writes):
         wire_keys = [self._translator.wire_key(write.key) for write in writes]
         keyed_writes = list(zip(wire_keys, writes, strict=True))
@@ -177,7 +193,9 @@
                 {
                     "key": wire_key,
                     "value": self._translator.wire_value(write.key, write.value),
-                    "lease": int(write.lease_id or 0),
+                    "lease": self._number_of_lease(write.lease_id)
+                    if write.lease_id
+                    else NO_LEASE,
                 }
                 for wire_key, write in keyed_writes
                 if write.value is not None
@@ -241,17 +259,36 @@
         ttl = max(ttl, self._min_lease_seconds)
         body = {"ttl_time": render_duration(ttl)}
         answer = self._write_json("/rattanworks/kv-lease", body)
-        return str(decode_answer(answer, _Lease).lease)
+        number = decode_answer(answer, _Lease).lease
+        return f"{self._eras.era_of(answer)}{LEASE_SEPARATOR}{number}"
 
     def renew_lease(self, lease_id):
         """Renew a lease."""
-        answer = self._write("POST", f"/rattanworks/kv-keep/{lease_id}")
+        number = self._number_of_lease(lease_id)
+        answer = self._write("POST", f"/rattanworks/kv-keep/{number}")
         if answer.status == NOT_FOUND_STATUS:
             raise LeaseLostError("the lease has expired; acquire it again")
+        self._require_lease_of(lease_id, self._eras.era_of(answer))
 
     def revoke_lease(self, lease_id):
         """End a lease and delete the records bound to it."""
-        self._write("DELETE", f"/rattanworks/kv-lease-end/{lease_id}")
+        try:
+            number = self._number_of_lease(lease_id)
+        except LeaseLostError:
+            # It has ended already, and its number may be that of another lease.
+            return
+        self._write("DELETE", f"/rattanworks/kv-lease-end/{number}")
+
+    def _number_of_lease(self, lease_id):
+        self._require_lease_of(lease_id, self.era)
+        return int(lease_id.partition(LEASE_SEPARATOR)[2])
+
+    def _require_lease_of(self, lease_id, era):
+        if lease_id.partition(LEASE_SEPARATOR)[0] != str(era):
+            raise LeaseLostError(
+                "the store returned from an older copy after the lease was granted; "
+                "acquire it again"
+            )
 
     def get_kept(self, key):
         """Return the entry of a blob of one of the latest configurations, or None."""
--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -12,7 +12,7 @@
     StoreError,
 )
 from rattanworks.model.call import return_true
-from rattanworks.ports.base import ABSENT
+from rattanworks.ports.base import ABSENT, era_of
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.logging import log_event
 
@@ -77,6 +77,7 @@
         self._is_candidate = is_candidate
         self._is_needed = is_needed
         self._stopped = threading.Event()
+        self._wake = threading.Event()
         self._lock = threading.Lock()
         self._random = random.Random()
         self._backoff = FullJitterBackoff(RETRY_SECONDS, BACKOFF_CAP_SECONDS)
@@ -86,6 +87,7 @@
         self._term = 0
         self._thread = threading.Thread(target=self._run, name=key, daemon=True)
         self.on_held = lambda: None
+        store.add_restore_listener(self._handle_restore)
 
     @property
     def key(self):
@@ -94,8 +96,15 @@
 
     @property
     def is_held(self):
-        """Return whether this node holds an unexpired lease, by its own clock."""
-        return bool(self._lease_id) and self._clock.monotonic() < self._valid_until
+        """Return whether this node holds an unexpired lease, by its own clock.
+
+        A store that returns from an older copy has lost all leases.
+        """
+        return (
+            bool(self._lease_id)
+            and self._clock.monotonic() < self._valid_until
+            and era_of(self._term) == self._store.era
+        )
 
     @property
     def term(self):
@@ -109,6 +118,7 @@
     def stop(self):
         """Release the role and stop competing for it."""
         self._stopped.set()
+        self._wake.set()
         with self._lock:
             lease_id, self._lease_id = self._lease_id, ""
             if lease_id:
@@ -120,7 +130,13 @@
         while not self._stopped.is_set():
             pause = self.step()
             if not self._watch_holder():
-                self._stopped.wait(pause)
+                self._wake.wait(pause)
+                self._wake.clear()
+
+    def _handle_restore(self):
+        # Only the holder: its standby nodes need not all read the record at once.
+        if self._lease_id:
+            self._wake.set()
 
     def _watch_holder(self):
         """Wait for the lease holder's record to change.
@@ -225,7 +241,13 @@
             self._store.renew_lease(self._lease_id)
         except LeaseLostError:
             self._lease_id = ""
-            log_event("role-lost", role=self._key, term=self._term)
+            is_restored = era_of(self._term) != self._store.era
+            log_event(
+                "role-lost", role=self._key, term=self._term, is_restored=is_restored
+            )
+            if is_restored:
+                # The record is gone as well, and no other node waits for its end.
+                self._acquire()
             return
         self._valid_until = started + self._lease_seconds
 
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -8,7 +8,11 @@
 from rattanworks.bench.fleet import wait_until
 from rattanworks.distribution.keys import HEAD, SHARED_PREFIX
 from rattanworks.distribution.watcher import Watcher
-from rattanworks.exceptions import HistoryLostError, StoreUnavailableError
+from rattanworks.exceptions import (
+    HistoryLostError,
+    LeaseLostError,
+    StoreUnavailableError,
+)
 from rattanworks.platform.store import PlatformStore
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles.base import LeasedRole
@@ -121,6 +125,52 @@
             self.store.watch(SHARED_PREFIX, revision, 0.0)
 
 
+class RestoredRoleTests(RestoredStoreTestCase):
+    def setUp(self):
+        super().setUp()
+        self.copy = self.platform.copy()
+
+    def role(self, store, name):
+        return LeasedRole(store, f"roles/{name}", name.encode(), SystemClock())
+
+    def test_a_role_whose_record_was_lost_is_not_held_any_more(self):
+        role = self.role(self.store, "one")
+        role.step()
+        self.assertTrue(role.is_held)
+        self.platform.restore(self.copy)
+        self.store.get("a")
+        self.assertFalse(role.is_held)
+
+    def test_the_former_holder_takes_its_role_again_in_one_step(self):
+        role = self.role(self.store, "one")
+        role.step()
+        term = role.term
+        self.platform.restore(self.copy)
+        role.step()
+        self.assertTrue(role.is_held)
+        self.assertGreater(role.term, term)
+        self.assertIsNotNone(self.store.get("roles/one"))
+
+    def test_a_lease_number_given_out_again_does_not_renew_anothers_lease(self):
+        lost = self.store.grant_lease(30.0)
+        self.platform.restore(self.copy)
+        self.new_store().grant_lease(30.0)
+        with self.assertRaises(LeaseLostError):
+            self.store.renew_lease(lost)
+        with self.assertRaises(LeaseLostError):
+            self.store.put("a", b"x", ABSENT, lost)
+        self.assertIsNone(self.store.get("a"))
+
+    def test_a_lease_number_given_out_again_does_not_end_anothers_lease(self):
+        lost = self.store.grant_lease(30.0)
+        self.platform.restore(self.copy)
+        other = self.role(self.new_store(), "two")
+        other.step()
+        self.store.get("a")
+        self.store.revoke_lease(lost)
+        self.assertIsNotNone(self.store.get("roles/two"))
+
+
 class RestoredWatcherTests(RestoredStoreTestCase):
     def setUp(self):
         super().setUp()
