Refuse writes that expect a revision of an earlier era of the store

Callers would see moves and roles jump: a compare-and-swap that was decided on a record that the store lost passes once the store has given out the same revision again, on a record that was never read. Such a write now fails as a conflict without a request (StoreRestoredError), so that every caller reads again, as after any other conflict. If it is the answer to the write itself that shows the return, the write may have hit a record that was not read, and counts as in doubt (StoreAnswerLost).

--- a/rattanworks/exceptions.py
+++ b/rattanworks/exceptions.py
@@ -89,6 +89,17 @@
         )
 
 
+class StoreRestoredError(StoreConflictError):
+    """The store returned from an older copy after the record was read."""
+
+    def __init__(self, key, expected):
+        super().__init__(key, expected, 0)
+        self.args = (
+            f"the store returned from an older copy after {key} was read at revision "
+            f"{expected}; read it again and repeat the change",
+        )
+
+
 class StoreAnswerLostError(StoreError):
     """A write was sent but no answer came; it may have taken effect."""
 
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -19,6 +19,7 @@
     LeaseLostError,
     StoreAnswerLostError,
     StoreConflictError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from rattanworks.platform.era import EraTracker
@@ -159,6 +160,9 @@
 
     def write_all(self, writes):
         """Make all the writes in one transaction or none."""
+        for write in writes:
+            if not _may_expect(write, self.era):
+                raise StoreRestoredError(write.key, write.expected_revision)
         answer = self._write_json("/rattanworks/kv-txn", self._transaction(writes))
         if answer.status == CONFLICT_STATUS:
             raise self._conflict_error(writes, answer)
@@ -174,9 +178,11 @@
         # The store returned from its copy while the request was on its way.
         try:
             for write in writes:
+                if not _may_expect(write, era):
+                    raise StoreRestoredError(write.key, write.expected_revision)
                 if write.lease_id:
                     self._require_lease_of(write.lease_id, era)
-        except LeaseLostError as error:
+        except (LeaseLostError, StoreRestoredError) as error:
             raise StoreAnswerLostError(
                 f"a write may have taken effect: {error}; read the record back"
             ) from error
@@ -340,6 +346,12 @@
             raise CallOutcomeUnknownError(f"the store answered {answer.status}")
 
 
+def _may_expect(write, era):
+    # In a later era the revision may have been given out again, to another record.
+    expected = write.expected_revision
+    return expected == ABSENT or era_of(expected) == era
+
+
 def _common_prefix(prefixes):
     # Several prefixes share one watch of all keys, which costs less than a watch for
     # each; the keys of others are filtered out of its events.
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -11,10 +11,12 @@
 from rattanworks.exceptions import (
     HistoryLostError,
     LeaseLostError,
+    StoreAnswerLostError,
+    StoreConflictError,
     StoreUnavailableError,
 )
 from rattanworks.platform.store import PlatformStore
-from rattanworks.ports.base import ABSENT
+from rattanworks.ports.base import ABSENT, number_of
 from rattanworks.roles.base import LeasedRole
 from rattanworks.tests.platform.builders import build_configuration
 from rattanworks.tests.platform.standins import StandInPlatformStore
@@ -125,6 +127,49 @@
             self.store.watch(SHARED_PREFIX, revision, 0.0)
 
 
+class RestoredRecordTests(RestoredStoreTestCase):
+    def write_again_at(self, revision, value):
+        """Write the record at a revision that was given out before the return."""
+        while self.platform.memory.list("").revision < number_of(revision) - 1:
+            self.write_others(1)
+        return self.platform.write_as_operator("mesh/a", value)
+
+    def test_a_write_decided_on_a_record_that_was_lost_is_refused(self):
+        copy = self.platform.copy()
+        self.write_others(5)
+        read = self.store.put("a", b"lost", ABSENT)
+        self.platform.restore(copy)
+        again = self.write_again_at(read.revision, b"of another")
+        self.assertEqual(again, number_of(read.revision))
+        self.store.list("b")
+        for change in (
+            lambda: self.store.put("a", b"changed", read.revision),
+            lambda: self.store.delete("a", read.revision),
+        ):
+            with self.assertRaises(StoreConflictError):
+                change()
+        self.assertEqual(self.store.get("a").value, b"of another")
+
+    def test_a_write_that_shows_the_return_itself_is_in_doubt(self):
+        copy = self.platform.copy()
+        self.write_others(5)
+        read = self.store.put("a", b"lost", ABSENT)
+        self.platform.restore(copy)
+        self.write_again_at(read.revision, b"of another")
+        with self.assertRaises(StoreAnswerLostError):
+            self.store.put("a", b"changed", read.revision)
+
+    def test_a_record_kept_by_the_copy_can_be_changed_after_it_was_read_again(self):
+        first = self.store.put("a", b"one", ABSENT)
+        self.platform.restore(self.platform.copy())
+        self.store.get("b")
+        with self.assertRaises(StoreConflictError):
+            self.store.put("a", b"two", first.revision)
+        again = self.store.get("a")
+        self.store.put("a", b"two", again.revision)
+        self.assertEqual(self.store.get("a").value, b"two")
+
+
 class RestoredRoleTests(RestoredStoreTestCase):
     def setUp(self):
         super().setUp()
