Recognize an order to move a service that is written again after a restore

Callers would see a good move taken back in the middle, and a version that was taken back get calls again: an order was known by its revision. When the store returns from an older copy and the operator writes its orders again, they have other revisions, so that the same order ended its own move and started it anew. A new order with a lower revision than a lost one was never carried out, and an earlier order that the copy still has withdrew the move of the later one.

Orders of an earlier era of the store are now compared by what they ask for, and keep their times. A node that has read no order before the return takes a move to the same version as started by it, and otherwise waits 2 s for the later order that the store may have lost.

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -2,7 +2,8 @@
 
 import random
 import threading
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 from rattanworks.distribution.keys import order_status_key
 from rattanworks.exceptions import (
@@ -15,7 +16,7 @@
 from rattanworks.model.service import MoveStatus
 from rattanworks.moves.record import ServiceRecords
 from rattanworks.moves.requests import MoveRequests
-from rattanworks.ports.base import ABSENT, Write
+from rattanworks.ports.base import ABSENT, Write, era_of, number_of
 from rattanworks.utils.codec import decode_json, encode_json
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
@@ -31,19 +32,111 @@
 # time.
 MARGIN_SECONDS = 2.6
 AUTHOR = "order"
+OPERATION_PREFIX = "order-"
+# After the store returned from an older copy, operators write again what it lost. An
+# order that contradicts what was carried out before waits this long for a later one.
+REWRITE_SECONDS = 2.0
+# Orders of a service that are recognized when they are written again.
+MAX_KNOWN_ORDERS = 8
 
 
 @dataclass(slots=True)
 class _ReceivedOrder:
+    """An order; ``revisions`` are those at which it was written, the latest last.
+
+    ``may_be_repeated`` is set if this node has read no order of the service before the
+    store returned from a copy: it can't know whether this one was carried out then.
+    """
+
     order: MoveOrder
-    revision: int
+    revisions: list[int]
     seen_at: float
     due: float
+    may_be_repeated: bool
     done_at: float | None = None
 
+    @property
+    def revision(self):
+        return self.revisions[-1]
+
     @property
     def operation_id(self):
-        return f"order-{self.revision}"
+        return _operation_id(self.revision)
+
+    def has_started(self, move):
+        """Return whether a move was started by this order."""
+        if move.operation_id in map(_operation_id, self.revisions):
+            return True
+        is_same_version = move.to_version == self.order.to_version
+        return is_same_version and self.may_follow(move)
+
+    def may_follow(self, move):
+        """Return whether a move is of an order of before the store returned.
+
+        This order may be the same or an earlier one, unless the node knows better.
+        """
+        revision = _order_revision(move.operation_id)
+        return (
+            self.may_be_repeated
+            and revision is not None
+            and era_of(revision) < era_of(self.revision)
+        )
+
+
+def _operation_id(revision):
+    return f"{OPERATION_PREFIX}{revision}"
+
+
+def _order_revision(operation_id):
+    """Return the revision of the order that started an operation, or None."""
+    number = operation_id.removeprefix(OPERATION_PREFIX)
+    is_order = operation_id.startswith(OPERATION_PREFIX) and number.isdecimal()
+    return int(number) if is_order else None
+
+
+@dataclass(slots=True)
+class _ServiceOrders:
+    """The latest orders of a service that this node has read, the newest last."""
+
+    received: deque = field(default_factory=lambda: deque(maxlen=MAX_KNOWN_ORDERS))
+
+    @property
+    def newest(self):
+        return self.received[-1] if self.received else None
+
+    def may_follow_others(self, revision, now):
+        """Return whether this node may have missed earlier orders of the service.
+
+        It has read none of an earlier era, and those of this era for a moment only.
+        """
+        if not self.received:
+            return True
+        first = self.received[0]
+        is_same_era = era_of(first.revision) == era_of(revision)
+        return is_same_era and now < first.seen_at + REWRITE_SECONDS
+
+    def find_repeated(self, order, revision):
+        """Return the same order of an earlier era of the store, or None."""
+        for received in reversed(self.received):
+            is_earlier = era_of(received.revision) < era_of(revision)
+            if received.order == order and is_earlier:
+                return received
+        return None
+
+    def repeat(self, received, revision, due):
+        """Take over a new revision of a known order; return whether it is the newest.
+
+        An order that isn't the newest one and has its former number is left from the
+        copy. Written again, it may be followed by newer ones: it waits until ``due``.
+        """
+        if received is not self.newest:
+            if number_of(received.revision) == number_of(revision):
+                return False
+            self.received.remove(received)
+            self.received.append(received)
+            received.due = due
+        received.revisions.append(revision)
+        return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +181,30 @@
         order = decode_json(entry.value, MoveOrder)
         now = self._clock.monotonic()
         with self._lock:
-            known = self._orders_by_service.get(order.service)
-            if known is not None and known.revision >= entry.revision:
+            orders = self._orders_by_service.setdefault(order.service, _ServiceOrders())
+            newest = orders.newest
+            if newest is not None and newest.revision >= entry.revision:
                 return
-            due = now + self._random.uniform(0, MAX_JITTER_SECONDS)
-            self._orders_by_service[order.service] = _ReceivedOrder(
-                order, entry.revision, now, due
+            repeated = orders.find_repeated(order, entry.revision)
+            if repeated is not None:
+                is_newest = orders.repeat(
+                    repeated, entry.revision, now + REWRITE_SECONDS
+                )
+            else:
+                due = now + self._random.uniform(0, MAX_JITTER_SECONDS)
+                may_be_repeated = orders.may_follow_others(entry.revision, now)
+                orders.received.append(
+                    _ReceivedOrder(order, [entry.revision], now, due, may_be_repeated)
+                )
+        if repeated is not None:
+            log_event(
+                "order-repeated",
+                service=order.service,
+                to_version=order.to_version,
+                revision=entry.revision,
+                is_newest=is_newest,
             )
+            return
         log_event(
             "move-ordered",
             service=order.service,
@@ -121,7 +231,9 @@
 
     def step(self):
         """Take the next step of each order that is due."""
-        for received in list(self._orders_by_service.values()):
+        with self._lock:
+            newest = [orders.newest for orders in self._orders_by_service.values()]
+        for received in newest:
             if self._clock.monotonic() < received.due:
                 continue
             try:
@@ -136,8 +248,13 @@
         if state is None:
             return
         move = state.move
-        if move is not None and move.operation_id == received.operation_id:
+        if move is not None and received.has_started(move):
             self._report_status(received, move.status)
+        elif move is not None and self._is_too_early(received, move):
+            raise MoveRefusedError(
+                f"the move of {received.order.service} to {move.to_version} is of a "
+                "later order that the store may have lost; this one waits for it"
+            )
         elif state.is_moving:
             self._withdraw_earlier(received, move)
         elif state.serving_version == received.order.to_version:
@@ -145,9 +262,13 @@
         else:
             self._start_move(received)
 
+    def _is_too_early(self, received, move):
+        is_settled = self._clock.monotonic() >= received.seen_at + REWRITE_SECONDS
+        return received.may_follow(move) and not is_settled
+
     def _withdraw_earlier(self, received, move):
         # A newer order replaces the move that an earlier order started.
-        if not move.operation_id.startswith("order-"):
+        if _order_revision(move.operation_id) is None:
             raise MoveRefusedError(
                 f"another move of {received.order.service} is running; "
                 "the order waits for its end"
@@ -211,7 +332,7 @@
         if recorded is None:
             return False
         state = recorded.state
-        if state.move is not None and state.move.operation_id == received.operation_id:
+        if state.move is not None and received.has_started(state.move):
             return state.move.status == status
         # No move was needed, or there was no time left to start one.
         is_served = state.serving_version == received.order.to_version
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -15,33 +15,15 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from rattanworks.platform.store import PlatformStore
 from rattanworks.ports.base import ABSENT, number_of
 from rattanworks.roles.base import LeasedRole
 from rattanworks.tests.platform.builders import build_configuration
-from rattanworks.tests.platform.standins import StandInPlatformStore
+from rattanworks.tests.platform.restored import RestoredStoreTestCase
 from rattanworks.utils.precedence_table import PrecedenceTable
 
 LIMIT_SECONDS = 20.0
 
 
-class RestoredStoreTestCase(unittest.TestCase):
-    def setUp(self):
-        self.platform = StandInPlatformStore()
-        self.addCleanup(self.platform.close)
-        self.store = self.new_store()
-
-    def new_store(self):
-        store = PlatformStore(self.platform.address, "mesh", 5.0, 1.0)
-        self.addCleanup(store.close)
-        return store
-
-    def write_others(self, count):
-        """Write records of others, as when the store passes revisions again."""
-        for number in range(count):
-            self.platform.write_as_operator(f"servers/{number}", b"x")
-
-
 class EraTests(RestoredStoreTestCase):
     def test_a_later_era_is_told_once(self):
         told = []
