Write the status of an order again that the store lost

Operators would see no status, or running, for a move that had been reported as completed: a node takes the status that it has written as stored for good, and the store returned from a copy of before that write. A node that learns of the end late even wrote running over completed.

A status known from an earlier era of the store counts as unknown, so it is written again from the state of the service; an end isn't replaced by running for the same version, except in the transaction that starts a new move.

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -311,8 +311,10 @@
 
     def _report_status(self, received, status):
         wanted = OrderStatus(received.order.service, received.order.to_version, status)
-        known = self._statuses_by_service.get(wanted.service)
-        if known is not None and known.status == wanted:
+        known = self._known_status(wanted.service)
+        if known is not None and (
+            known.status == wanted or _is_end_of(known.status, wanted)
+        ):
             return
         if status == MoveStatus.DONE and not self._is_drained(received):
             return
@@ -348,13 +350,20 @@
         _log_status(wanted)
 
     def _status_write(self, wanted):
-        known = self._statuses_by_service.get(wanted.service)
+        known = self._known_status(wanted.service)
         return Write(
             order_status_key(wanted.service),
             encode_json(wanted),
             known.revision if known else ABSENT,
         )
 
+    def _known_status(self, service):
+        """Return the stored status, None if there is none or the store lost it."""
+        known = self._statuses_by_service.get(service)
+        if known is None or era_of(known.revision) != self._store.era:
+            return None
+        return known
+
     def _refresh_status(self, service):
         entry = self._store.get(order_status_key(service))
         if entry is None:
@@ -363,6 +372,12 @@
             self.receive_status(entry)
 
 
+def _is_end_of(status, running):
+    # Written by a node that knew more: this one has yet to learn of the end.
+    is_running = running.status == MoveStatus.RUNNING
+    return is_running and status.to_version == running.to_version
+
+
 def _log_status(status):
     """Log the status of an order that was written."""
     log_event(
--- a/rattanworks/tests/moves/restored_orders_tests.py
+++ b/rattanworks/tests/moves/restored_orders_tests.py
@@ -5,8 +5,8 @@
 import unittest
 
 from rattanworks.distribution.keys import order_key, order_status_key
-from rattanworks.model.service import MoveStatus, ServiceState, taken_back
-from rattanworks.moves.orders import REWRITE_SECONDS, MoveOrders
+from rattanworks.model.service import MoveStatus, ServiceState, done, taken_back
+from rattanworks.moves.orders import DRAIN_SECONDS, REWRITE_SECONDS, MoveOrders
 from rattanworks.moves.record import ServiceRecords
 from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_record
@@ -73,6 +73,10 @@
         self.records.write(state, self.records.read(SERVICE).revision)
         self.services.merge((state,))
 
+    def status(self):
+        value = self.platform.value_of(f"status/rollout/{SERVICE}")
+        return value and value["state"]
+
     def test_an_order_written_again_does_not_end_its_move(self):
         for count in (0, 20):
             with self.subTest(count=count):
@@ -172,6 +176,36 @@
         self.step()
         self.assertEqual(self.state().move.status, MoveStatus.RUNNING)
 
+    def test_a_status_that_the_store_lost_is_written_again(self):
+        self.start_move()
+        running = self.platform.copy()
+        self.end(done(self.state(), "", self.clock.now()))
+        self.step()
+        self.step(DRAIN_SECONDS)
+        self.assertEqual(self.status(), "completed")
+        for copy in (self.empty, running):
+            self.return_to(copy)
+            self.write_order()
+            self.receive()
+            for _ in range(3):
+                self.step()
+            self.assertEqual(self.status(), "completed")
+
+    def test_a_node_that_learns_of_the_end_late_does_not_turn_a_status_back(self):
+        self.start_move()
+        running = self.state()
+        self.end(done(running, "", self.clock.now()))
+        self.step()
+        self.step(DRAIN_SECONDS)
+        self.return_to(self.platform.copy())
+        self.services = PrecedenceTable(lambda state: state.service)
+        self.services.merge((running,))
+        late = self.build()
+        self.receive(late)
+        for _ in range(3):
+            self.step(1.0, late)
+        self.assertEqual(self.status(), "completed")
+
 
 if __name__ == "__main__":
     unittest.main()
