Write states of services again that the store lost

Callers would see a move stand still or start from an older one: the state of a service is written once, when it changes, and by nobody again. After a store returned from an older copy the state is older than the one in force on the nodes, or missing; the role's holder finds no record to continue, and the end of a move is never recorded, so that its status isn't reported.

All nodes have the latest state in memory. A node that begins to watch the store, or begins anew since the history is lost, now compares its list with that table and writes what is older or missing by compare-and-swap, and its move to the trail.

--- a/rattanworks/distribution/watcher.py
+++ b/rattanworks/distribution/watcher.py
@@ -26,7 +26,8 @@
 
     New heads go to ``on_head``, states of services to the table ``services``. The
     operators' orders to move a service and the status of orders go to ``orders`` as
-    entries of the store.
+    entries of the store. After each list of all shared records, ``on_listed`` is called
+    with its entries; the list is repeated if that raises StoreError.
     """
 
     def __init__(self, role, store, services, orders=None):
@@ -41,6 +42,7 @@
         self._revision = 0
         self._backoff = FullJitterBackoff(RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
         self.on_head = lambda head: None
+        self.on_listed = lambda entries: None
         role.on_held = self._start_thread
         store.add_restore_listener(self._handle_restore)
 
@@ -99,7 +101,8 @@
 
     def watch_once(self):
         """Read all shared records the first time; after that, wait for changes."""
-        if not self._revision:
+        is_list = not self._revision
+        if is_list:
             event = self._store.list(SHARED_PREFIX)
         else:
             event = self._store.watch(SHARED_PREFIX, self._revision, WATCH_SECONDS)
@@ -107,6 +110,8 @@
                 self._revision = 0
                 return
         self._handle(event.entries)
+        if is_list:
+            self.on_listed(event.entries)
         self._revision = event.revision
 
     def _handle(self, entries):
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -58,6 +58,8 @@
 from rattanworks.moves.evidence import EvidenceLog
 from rattanworks.moves.orders import MoveOrders
 from rattanworks.moves.participant import MoveParticipant
+from rattanworks.moves.record import MoveTrail, ServiceRecords
+from rattanworks.moves.restoration import StateRestorer
 from rattanworks.node.adapters import Adapters
 from rattanworks.node.lifecycle import Lifecycle
 from rattanworks.node.metrics import MeteredEntry, add_gauges, new_registry
@@ -382,6 +384,9 @@
 def _watchers(node):
     domain = node.settings.host.failure_domain
     count = node.settings.distribution.watchers_per_failure_domain
+    restorer = StateRestorer(
+        node.services, ServiceRecords(node.store), MoveTrail(node.store)
+    )
     watchers = []
     for number in range(count):
         role = LeasedRole(
@@ -397,6 +402,7 @@
         watcher.on_head = functools.partial(
             node.replicator.handle_store_head, delay=number * WATCHER_DELAY_STEP_SECONDS
         )
+        watcher.on_listed = restorer.handle_list
         watchers.append(watcher)
     return tuple(watchers)
 
