Start an ordered move only from the latest state of its service

Callers would see an order that is never carried out: after the store returned from an older copy, a move could start from the state in the copy, with the generation that a lost move has on all nodes. Their state has precedence, so no node takes the new move over, while the store has it as running.

A move starts once the store's state is as new as that of the node.

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -260,7 +260,7 @@
         elif state.serving_version == received.order.to_version:
             self._report_status(received, MoveStatus.DONE)
         else:
-            self._start_move(received)
+            self._start_move(received, state)
 
     def _is_too_early(self, received, move):
         is_settled = self._clock.monotonic() >= received.seen_at + REWRITE_SECONDS
@@ -276,7 +276,7 @@
         state = self._requests.withdraw(received.order.service, AUTHOR)
         self._services.merge((state,))
 
-    def _start_move(self, received):
+    def _start_move(self, received, state):
         order = received.order
         seconds_left = order.within_seconds - (
             self._clock.monotonic() - received.seen_at
@@ -284,6 +284,7 @@
         if seconds_left <= MARGIN_SECONDS:
             self._report_status(received, MoveStatus.TAKEN_BACK)
             return
+        self._require_recorded(state)
         announced = {
             record.version
             for record in self._members.by_node.values()
@@ -291,7 +292,7 @@
         }
         running = OrderStatus(order.service, order.to_version, MoveStatus.RUNNING)
         try:
-            state = self._requests.start(
+            started = self._requests.start(
                 order.service,
                 order.to_version,
                 self._clock.now() + seconds_left - MARGIN_SECONDS,
@@ -305,10 +306,19 @@
             # The stored status may have another revision than the one known here.
             self._refresh_status(order.service)
             raise
-        self._services.merge((state,))
+        self._services.merge((started,))
         self._refresh_status(order.service)
         _log_status(running)
 
+    def _require_recorded(self, state):
+        # The generation of a move that starts from an older state is taken already.
+        recorded = self._records.read(state.service)
+        if recorded is None or recorded.state.precedence < state.precedence:
+            raise MoveRefusedError(
+                f"the store has an older state of {state.service} than this node; "
+                "the move starts once it is written again"
+            )
+
     def _report_status(self, received, status):
         wanted = OrderStatus(received.order.service, received.order.to_version, status)
         known = self._known_status(wanted.service)
--- a/rattanworks/tests/moves/restored_orders_tests.py
+++ b/rattanworks/tests/moves/restored_orders_tests.py
@@ -206,6 +206,21 @@
             self.step(1.0, late)
         self.assertEqual(self.status(), "completed")
 
+    def test_a_move_starts_only_from_the_latest_state(self):
+        self.start_move()
+        self.end(taken_back(self.state(), "bad", self.clock.now()))
+        self.platform.restore(self.empty)
+        self.write_order("v3")
+        self.receive()
+        self.step()
+        self.assertIsNone(self.records.read(SERVICE).state.move)
+        self.return_to(self.empty)
+        self.write_order("v3")
+        self.receive()
+        self.step()
+        self.assertEqual(self.state().move.to_version, "v3")
+        self.assertEqual(self.records.read(SERVICE).state, self.state())
+
 
 if __name__ == "__main__":
     unittest.main()
