Keep the claims on idempotency keys that the store lost

Callers would see a keyed call run twice: the store returned from an older copy without the claim, and the repeat of the key at the node that had claimed it ran again, as did one whose outcome was lost.

A node that finds its page in a later era of the store adds the claims that it knew in the head and in the slice that it sealed last, unless the page has them, and writes them with its next write.

What remains: claims of a node that is lost with the store's records, and of slices sealed earlier than the last one.

--- a/rattanworks/ledger/page_view.py
+++ b/rattanworks/ledger/page_view.py
@@ -7,7 +7,7 @@
 from rattanworks.exceptions import StoreConflictError, StoreError
 from rattanworks.ledger.page import PageHead, SealedSlice, SliceReference
 from rattanworks.model.claim import ClaimState
-from rattanworks.ports.base import ABSENT
+from rattanworks.ports.base import ABSENT, era_of
 from rattanworks.utils.codec import decode_binary, encode_binary
 from rattanworks.utils.logging import log_event
 
@@ -25,6 +25,10 @@
 
     A write succeeds only over the head that was read. As the head references every
     slice, a writer that adds a claim has seen all earlier claims.
+
+    When the store returns from an older copy, the page has lost its latest claims.
+    Those in the head that this node knew, and in the slice that it sealed last, are
+    kept and written again with the next write.
     """
 
     def __init__(self, store, clock, name):
@@ -35,6 +39,9 @@
         self._head = PageHead()
         self._head_bytes = 0
         self._claims_by_key = {}
+        self._era = store.era
+        self._last_sealed = ()
+        self._lost_by_key = {}
         # Sorted 64-bit prefixes of the keys in each slice, which take 8 bytes a key.
         self._prefixes_by_revision = {}
         self.is_current = False
@@ -51,9 +58,19 @@
         )
         return sealed_keys + len(self._claims_by_key) >= MAX_KEYS
 
+    @property
+    def has_lost_claims(self):
+        """Return whether claims that the store has lost are still to be written."""
+        return bool(self._lost_by_key)
+
     def read(self):
         """Read the head and the slices that are not indexed yet."""
         entry = self._store.get(self._head_key)
+        era = self._store.era if entry is None else era_of(entry.revision)
+        if era != self._era:
+            known = (*self._last_sealed, *self._claims_by_key.values())
+            self._lost_by_key |= {claim.key: claim for claim in known}
+            self._era = era
         if entry is None:
             self._set_head(PageHead(), ABSENT, 0)
         else:
@@ -63,8 +80,19 @@
         self._remove_from_index(set(self._prefixes_by_revision) - referenced)
         for revision in sorted(referenced - set(self._prefixes_by_revision)):
             self._index(revision, self._read_slice(revision))
+        if self._lost_by_key:
+            self._keep_lost_claims()
         self.is_current = True
 
+    def _keep_lost_claims(self):
+        self._lost_by_key = {
+            key: claim
+            for key, claim in self._lost_by_key.items()
+            if _is_lost(claim, self.find(key))
+        }
+        self._claims_by_key |= self._lost_by_key
+        log_event("claims-restored", page=self._head_key, claims=len(self._lost_by_key))
+
     def find(self, key):
         """Return the claim on a key or None; read the slices that may contain it."""
         claim = self._claims_by_key.get(key)
@@ -97,7 +125,7 @@
         if self._head_bytes > SEAL_THRESHOLD_BYTES:
             new_slice = self._seal()
             slices = (*slices, new_slice)
-            claims = dict(changed_by_key)
+            claims = {**self._lost_by_key, **changed_by_key}
         expired = self._expired_slices(slices, now)
         head = PageHead(
             tuple(claim for claim in claims.values() if self._is_kept(claim, now)),
@@ -107,6 +135,8 @@
         entry = self._store.put(self._head_key, content, self._revision)
         if new_slice is not None:
             self._index(new_slice.revision, SealedSlice(self._head.claims))
+            self._last_sealed = self._head.claims
+        self._lost_by_key = {}
         self._set_head(head, entry.revision, len(content))
         self.is_current = True
         self._delete_expired(expired)
@@ -176,6 +206,14 @@
         return f"{self._head_key}/{revision}"
 
 
+def _is_lost(known, stored):
+    """Return whether the store has lost a claim, or its outcome."""
+    if stored is None:
+        return known.state != ClaimState.RELEASED
+    is_same = stored.operation_id == known.operation_id
+    return is_same and stored.state == ClaimState.CLAIMED != known.state
+
+
 def _prefix_of(key):
     return int(key[:PREFIX_DIGITS], 16)
 
--- a/rattanworks/ledger/page_writer.py
+++ b/rattanworks/ledger/page_writer.py
@@ -146,7 +146,7 @@
         if is_fresh:
             self._view.read()
         changed, results = self._apply(batch)
-        if changed:
+        if changed or self._view.has_lost_claims:
             self._view.write(changed)
         elif not is_fresh:
             # Without a write, no compare-and-swap has checked that the head read
