Take one's own role again over the record that an older copy has

Callers would see versions late: a store that returns from an older copy has the record of a role too, under a lease of which nobody can renew any more. The former holder found its own record and stood by until that lease ended.

A node that finds its own value in the record now writes it again by compare-and-swap under its new lease. The stand-in detaches a record from its former lease, as a record has one lease only.

--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -205,14 +205,20 @@
             return
         asked_at = self._clock.monotonic()
         event = self._store.list(self._key)
-        if _find(self._key, event) is not None:
+        known = _find(self._key, event)
+        if known is not None and known.value != self._holder_value:
             self._seen_revision = event.revision
             return
+        # A record of this node itself is left from an earlier lease, as when the store
+        # returned from an older copy: that lease need not end first.
+        expected_revision = known.revision if known else ABSENT
         started = self._clock.monotonic()
         lease_seconds = self._timing.lease_seconds_at(started - asked_at)
         lease_id = self._store.grant_lease(lease_seconds)
         try:
-            entry = self._store.put(self._key, self._holder_value, ABSENT, lease_id)
+            entry = self._store.put(
+                self._key, self._holder_value, expected_revision, lease_id
+            )
         except StoreConflictError:
             self._revoke(lease_id)
             return
--- a/rattanworks/standins/store.py
+++ b/rattanworks/standins/store.py
@@ -84,8 +84,8 @@
         with self._changed:
             self._expire_leases()
             self._require_revision(key, expected_revision)
-            if lease_id:
-                self._require_lease(lease_id).keys.add(key)
+            lease = self._require_lease(lease_id) if lease_id else None
+            self._attach(key, lease)
             return self._write_at_new_revision(key, value)
 
     def delete(self, key, expected_revision):
@@ -113,8 +113,7 @@
                 self._require_lease(w.lease_id) if w.lease_id else None for w in writes
             ]
             for write, lease in zip(writes, leases, strict=True):
-                if lease is not None:
-                    lease.keys.add(write.key)
+                self._attach(write.key, lease)
             self._revision += 1
             return tuple(self._set_entry(write.key, write.value) for write in writes)
 
@@ -209,6 +208,13 @@
         if actual != expected:
             raise RevisionConflictError(actual)
 
+    def _attach(self, key, lease):
+        # A record has the lease that it was written with last.
+        for other in self._leases_by_id.values():
+            other.keys.discard(key)
+        if lease is not None:
+            lease.keys.add(key)
+
     def _write_at_new_revision(self, key, value):
         self._revision += 1
         return self._set_entry(key, value)
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -178,6 +178,18 @@
         self.assertGreater(role.term, term)
         self.assertIsNotNone(self.store.get("roles/one"))
 
+    def test_the_former_holder_does_not_wait_for_the_lease_in_the_copy_to_end(self):
+        role = self.role(self.store, "one")
+        role.step()
+        self.platform.restore(self.copy)
+        other = self.new_store()
+        left = other.grant_lease(1.0)
+        other.put("roles/one", b"one", ABSENT, left)
+        role.step()
+        self.assertTrue(role.is_held)
+        other.revoke_lease(left)
+        self.assertIsNotNone(self.store.get("roles/one"))
+
     def test_a_lease_number_given_out_again_does_not_renew_anothers_lease(self):
         lost = self.store.grant_lease(30.0)
         self.platform.restore(self.copy)
