Let the holder of a move go on with what the store lost

Callers would see a move stand still after the store returned from an older copy: the holder found no record of its move, or one of an earlier move, and waited until a watcher had written the state again.

The holder now takes the later of its own state and the store's, and writes it over the revision that it has read.

--- a/rattanworks/moves/driver.py
+++ b/rattanworks/moves/driver.py
@@ -6,6 +6,7 @@
 from rattanworks.model.service import done, taken_back
 from rattanworks.moves.collector import EvidenceCollector
 from rattanworks.moves.decision import Action, MoveEvaluator, ServerCounts
+from rattanworks.ports.base import ABSENT
 from rattanworks.utils.logging import log_event
 
 # A longer gap between two looks means that the process was paused and its evidence is
@@ -54,18 +55,22 @@
     def attach(self):
         """Write a new term with this node as holder; return whether it was written.
 
-        Raise StoreError while the store does not answer.
+        Where the store has an older state than this node, or none, as after its return
+        from an older copy, the move goes on from the state of this node. Raise
+        StoreError while the store does not answer.
         """
         recorded = self._records.read(self._service)
-        if recorded is None or recorded.state.generation != self.generation:
+        if recorded is not None:
+            self._services.merge((recorded.state,))
+        state = self.state
+        if state.generation != self.generation or not state.is_moving:
             return False
-        self._services.merge((recorded.state,))
-        if not recorded.state.is_moving or not self.state.is_moving:
-            return False
-        move = recorded.state.move
-        move = replace(move, holder=self._own_node, term=move.term + 1, step=0)
+        move = replace(
+            state.move, holder=self._own_node, term=state.move.term + 1, step=0
+        )
+        revision = recorded.revision if recorded else ABSENT
         try:
-            self._write(replace(recorded.state, move=move), recorded.revision)
+            self._write(replace(state, move=move), revision)
         except StoreConflictError:
             return False
         self._reset(self._recorded.state)
--- a/rattanworks/tests/moves/driver_tests.py
+++ b/rattanworks/tests/moves/driver_tests.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from rattanworks.distribution.keys import service_key
 from rattanworks.exceptions import StoreUnavailableError
 from rattanworks.model.service import MoveStatus, done, taken_back
 from rattanworks.moves.driver import record_end
@@ -187,6 +188,26 @@
         self.assertEqual(driver_node.move.status, MoveStatus.DONE)
 
 
+class RestoredStoreTests(unittest.TestCase):
+    def test_a_holder_goes_on_with_the_move_that_the_store_lost(self):
+        for earlier in (None, running_state(share=0.0)):
+            with self.subTest(earlier=earlier):
+                world = World(running_state(stage=1, share=0.5, term=3))
+                driver_node = world.driver_node()
+                driver_node.driver.attach()
+                recorded = world.records.read("catalogue")
+                if earlier is None:
+                    world.store.delete(service_key("catalogue"), recorded.revision)
+                else:
+                    world.records.write(earlier, recorded.revision)
+                self.assertTrue(driver_node.driver.attach())
+                self.assertEqual(
+                    world.recorded, driver_node.services.rows_by_name["catalogue"]
+                )
+                move = world.recorded.move
+                self.assertEqual((move.stage, move.share, move.term), (1, 0.5, 5))
+
+
 class RaceTests(unittest.TestCase):
     def test_done_in_the_store_prevails_over_a_later_taken_back(self):
         world = World()
