Let a holder that is no candidate any more take its role again after a restore

Callers would see versions late: which nodes compete for a role changes with the members, but a holder keeps its role as long as it renews it. After the store returned from an older copy such a holder did not ask for its role again, and the candidates stood by until the lease in the copy ended.

--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -201,8 +201,10 @@
 
     def _acquire(self):
         self._seen_revision = 0
-        if not (self._is_needed() and self._is_candidate()):
-            return
+        if self._is_needed() and self._is_candidate():
+            self._acquire_if_free()
+
+    def _acquire_if_free(self):
         asked_at = self._clock.monotonic()
         event = self._store.list(self._key)
         known = _find(self._key, event)
@@ -252,8 +254,9 @@
                 "role-lost", role=self._key, term=self._term, is_restored=is_restored
             )
             if is_restored:
-                # The record is gone as well, and no other node waits for its end.
-                self._acquire()
+                # The record is gone as well, and no other node waits for its end. A
+                # holder need not be a candidate, also not to hold the role again.
+                self._acquire_if_free()
             return
         self._valid_until = started + self._lease_seconds
 
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -157,8 +157,9 @@
         super().setUp()
         self.copy = self.platform.copy()
 
-    def role(self, store, name):
-        return LeasedRole(store, f"roles/{name}", name.encode(), SystemClock())
+    def role(self, store, name, **changes):
+        key = f"roles/{name}"
+        return LeasedRole(store, key, name.encode(), SystemClock(), **changes)
 
     def test_a_role_whose_record_was_lost_is_not_held_any_more(self):
         role = self.role(self.store, "one")
@@ -178,6 +179,15 @@
         self.assertGreater(role.term, term)
         self.assertIsNotNone(self.store.get("roles/one"))
 
+    def test_a_former_holder_that_is_no_candidate_any_more_goes_on(self):
+        is_candidate = [True]
+        role = self.role(self.store, "one", is_candidate=lambda: is_candidate[-1])
+        role.step()
+        is_candidate.append(False)
+        self.platform.restore(self.copy)
+        role.step()
+        self.assertTrue(role.is_held)
+
     def test_the_former_holder_does_not_wait_for_the_lease_in_the_copy_to_end(self):
         role = self.role(self.store, "one")
         role.step()
