Refuse reports with values that cannot be passed on to peers

A heartbeat whose `sequence`, `born` or `slots` had forty digits was acknowledged with 200; gossip could not encode the record afterwards (OverflowError), and so sent no row of that batch. A version of more than 200 characters was encoded, but each peer refused the whole message, rows of other nodes included. An id with CR LF or non-ASCII characters raised ValueError in every call to the server, as it is sent on as a header.

Cause: the adapter bounded neither numbers nor lengths, while the records made from a report are bounded where peers decode them.

`zone` and `warmupLeft` are not used, but a report in which they have another type is refused as well.

Evidence: test_numbers_and_names_that_peers_cannot_be_sent_are_refused and test_an_id_that_no_header_can_carry_is_refused failed before (200 for each value but those of 4301 digits and more).

--- a/rattanworks/platform/composition.py
+++ b/rattanworks/platform/composition.py
@@ -53,6 +53,7 @@
         """Return the WSGI application for the backend server's reports."""
         return InstancesApp(
             node.presence,
+            node.clock,
             node.settings.host.service,
             self._settings.backend_address,
             MAX_CONNECTIONS,
--- a/rattanworks/platform/instances.py
+++ b/rattanworks/platform/instances.py
@@ -1,26 +1,40 @@
 """Receives heartbeats and departures of the backend server beside the node."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from rattanworks.model.announcement import Announcement, Report
+from rattanworks.model.endpoint import MAX_NAME_LENGTH, Counter, Name
 from rattanworks.platform.names import INSTANCES_PATH
 from rattanworks.utils.codec import decode_json
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.wsgi import Response, json_response, path_of, read_body, respond
 
 MAX_REPORT_BYTES = 64 * 1024
+# A server runs one call at a time on a connection, and an address has so many ports.
+MAX_SLOTS = 65_535
+# How far the clock that dated a server's start may be ahead of this node's.
+MAX_START_AHEAD_SECONDS = 24 * 3600.0
+MILLISECONDS_PER_SECOND = 1000
+# The id is sent on as a header of each call.
+INSTANCE_PATTERN = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
-    service: str
-    address: str
-    version: str
-    slots: int
-    state: str
-    sequence: int
+    service: Name
+    address: Name
+    version: Annotated[Name, msgspec.Meta(min_length=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Name
+    sequence: Counter
     # Milliseconds since the Unix epoch at which the server started.
-    started_at: int = msgspec.field(name="born", default=0)
+    started_at: Counter = msgspec.field(name="born", default=0)
+    # Not used: a report in which they have another type is not the server's.
+    failure_domain: Name = msgspec.field(name="zone", default="")
+    warm_up_left: Name = msgspec.field(name="warmupLeft", default="")
 
 
 class InstancesApp:
@@ -31,8 +45,11 @@
     ``connections`` is how many connections the server is taken to accept.
     """
 
-    def __init__(self, presence, service, address, connections, heartbeat_seconds):
+    def __init__(
+        self, presence, clock, service, address, connections, heartbeat_seconds
+    ):
         self._presence = presence
+        self._clock = clock
         self._service = service
         self._address = address
         self._connections = connections
@@ -49,6 +66,8 @@
         if handler is None or not path.startswith(INSTANCES_PATH):
             return respond(start_response, Response(404, b"unknown path\n"))
         instance = path.removeprefix(INSTANCES_PATH)
+        if not INSTANCE_PATTERN.fullmatch(instance):
+            return respond(start_response, _refuse(instance, "no instance's id"))
         return respond(start_response, handler(instance, environ))
 
     def _handle_heartbeat(self, instance, environ):
@@ -56,8 +75,7 @@
             heartbeat = decode_json(read_body(environ), _Heartbeat)
             report = self._translate(instance, heartbeat)
         except (msgspec.DecodeError, ValueError) as error:
-            log_event("report-refused", instance=instance, reason=str(error))
-            return Response(400, f"{error}\n".encode())
+            return _refuse(instance, str(error))
         self._presence.receive(report)
         return json_response({})
 
@@ -69,8 +87,9 @@
             )
         if heartbeat.state not in IS_LEAVING_BY_STATE:
             raise ValueError(f"unknown state {heartbeat.state!r}")
-        if not instance or heartbeat.slots < 1:
-            raise ValueError("an instance and at least one slot are needed")
+        ahead = heartbeat.started_at / MILLISECONDS_PER_SECOND - self._clock.now()
+        if ahead > MAX_START_AHEAD_SECONDS:
+            raise ValueError(f"the server's start is {ahead:.0f} s in the future")
         announcement = Announcement(
             service=heartbeat.service,
             version=heartbeat.version,
@@ -88,3 +107,8 @@
     def _handle_departure(self, instance, environ):
         self._presence.receive_departure(instance)
         return json_response({})
+
+
+def _refuse(instance, reason):
+    log_event("report-refused", instance=instance[:MAX_NAME_LENGTH], reason=reason)
+    return Response(400, f"{reason}\n".encode())
--- a/rattanworks/tests/platform/instances_tests.py
+++ b/rattanworks/tests/platform/instances_tests.py
@@ -26,7 +26,7 @@
             self.clock,
         )
         self.app = InstancesApp(
-            presence, "catalogue", "127.0.0.1:1", 100, HEARTBEAT_SECONDS
+            presence, self.clock, "catalogue", "127.0.0.1:1", 100, HEARTBEAT_SECONDS
         )
 
     def send(self, method, instance, content=b""):
@@ -93,6 +93,35 @@
         self.assertEqual(self.send("GET", "i-1"), 404)
         self.assertEqual(self.events, [])
 
+    def test_numbers_and_names_that_peers_cannot_be_sent_are_refused(self):
+        for changes in (
+            {"sequence": 10**40},
+            {"sequence": 2**62},
+            {"sequence": -1},
+            {"born": 10**40},
+            {"born": 2**62},
+            {"born": 10**15},
+            {"born": -1},
+            {"slots": 10**40},
+            {"slots": 2**62},
+            {"version": "v" * 1000},
+            {"version": ""},
+            {"zone": 5},
+            {"warmupLeft": {"ms": 0}},
+        ):
+            with self.subTest(changes):
+                self.assertEqual(self.send_heartbeat(**changes), 400)
+        self.assertEqual(self.events, [])
+        self.assertEqual(self.send_heartbeat(), 200)
+        self.assertEqual(self.events, ["i-1"])
+
+    def test_an_id_that_no_header_can_carry_is_refused(self):
+        for instance in ("", "i-1\r\nX-Other: 1", "i 1", "i-\xe9", "i" * 1000):
+            with self.subTest(instance):
+                self.assertEqual(self.send_heartbeat(instance), 400)
+                self.assertEqual(self.send("DELETE", instance), 400)
+        self.assertEqual(self.events, [])
+
     @given(st.binary(max_size=200))
     def test_no_bytes_crash_the_listener(self, content):
         self.reset()
