Refuse reports of more than 64 kB

The limit MAX_REPORT_BYTES was defined and used nowhere: a report was read and decoded up to the listener's limit of a body.

Evidence: test_a_report_of_too_many_bytes_is_refused failed before with 200 != 400.

--- a/rattanworks/platform/instances.py
+++ b/rattanworks/platform/instances.py
@@ -72,7 +72,7 @@
 
     def _handle_heartbeat(self, instance, environ):
         try:
-            heartbeat = decode_json(read_body(environ), _Heartbeat)
+            heartbeat = decode_json(_read_report(environ), _Heartbeat)
             report = self._translate(instance, heartbeat)
         except (msgspec.DecodeError, ValueError) as error:
             return _refuse(instance, str(error))
@@ -109,6 +109,13 @@
         return json_response({})
 
 
+def _read_report(environ):
+    size = int(environ.get("CONTENT_LENGTH") or 0)
+    if size > MAX_REPORT_BYTES:
+        raise ValueError(f"a report has at most {MAX_REPORT_BYTES} bytes, not {size}")
+    return read_body(environ)
+
+
 def _refuse(instance, reason):
     log_event("report-refused", instance=instance[:MAX_NAME_LENGTH], reason=reason)
     return Response(400, f"{reason}\n".encode())
--- a/rattanworks/tests/platform/instances_tests.py
+++ b/rattanworks/tests/platform/instances_tests.py
@@ -122,6 +122,9 @@
                 self.assertEqual(self.send("DELETE", instance), 400)
         self.assertEqual(self.events, [])
 
+    def test_a_report_of_too_many_bytes_is_refused(self):
+        self.assertEqual(self.send_heartbeat(other="x" * 100_000), 400)
+
     @given(st.binary(max_size=200))
     def test_no_bytes_crash_the_listener(self, content):
         self.reset()
