Return to a server that keeps reporting below an odd report

After one heartbeat with a `sequence` or `born` far too high, all later ones of the real server were stale for good: its endpoint left three heartbeats later and never came back, although the server ran. A draining report with a later start had the same effect, and so had a clock that was set back between two starts under one id: the new start ranked below the old one. Meanwhile a draining report of the real server was acknowledged and ignored.

Cause: the highest start and sequence ever seen decide, and nothing lowers them; a report is only compared with the record of the past, never with what still arrives.

Now stale reports of one start are counted. Three of them with rising sequences, half a heartbeat apart, while nothing current arrived for two heartbeats, make that start current. Delayed reports do not: they come once or in a burst, and any current report starts the count again. A server that has left under that start stays away: its own draining report and a DELETE stay final. A draining report of the current start counts whatever its sequence, as a server does not take it back. The owner remembers the start that left, not the one that it served last.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -166,13 +166,15 @@
     def _is_serving(self):
         return self._members.own.state == EndpointState.SERVING
 
-    def leave(self):
+    def leave(self, announcement=None):
         """Take no new calls: the server is leaving; ignore its later heartbeats.
 
-        Running calls finish, waiting calls are refused.
+        ``announcement`` is that of the server that leaves, by default the latest
+        one. Running calls finish, waiting calls are refused.
         """
-        if self._announcement is not None:
-            self._left_identity = self._announcement.identity
+        announcement = announcement or self._announcement
+        if announcement is not None:
+            self._left_identity = announcement.identity
         self._withdraw()
 
     def _withdraw(self):
--- a/rattanworks/tests/platform/instances_tests.py
+++ b/rattanworks/tests/platform/instances_tests.py
@@ -22,7 +22,7 @@
         self.events = []
         presence = Presence(
             lambda announcement: self.events.append(announcement.instance),
-            lambda: self.events.append("left"),
+            lambda announcement: self.events.append("left"),
             self.clock,
         )
         self.app = InstancesApp(
@@ -79,6 +79,71 @@
         self.send_heartbeat("i-2", born=2000, sequence=2)
         self.assertEqual(self.events, ["i-1", "i-2"])
 
+    def send_heartbeats(self, count, sequence, **changes):
+        """Send heartbeats at their interval; return whether the last one counted."""
+        for number in range(count):
+            self.clock.advance(HEARTBEAT_SECONDS)
+            self.events.clear()
+            self.send_heartbeat(sequence=sequence + number, **changes)
+        return self.events == ["i-1"]
+
+    def test_one_odd_report_does_not_silence_the_server_for_good(self):
+        for odd in (
+            {"sequence": 2**59},
+            {"born": 3_600_000},
+            {"born": 3_600_000, "state": "draining", "sequence": 2**59},
+        ):
+            with self.subTest(odd):
+                self.reset()
+                self.assertTrue(self.send_heartbeats(3, 1))
+                self.send_heartbeat(**odd)
+                self.assertTrue(self.send_heartbeats(3, 4))
+                self.assertTrue(self.send_heartbeats(1, 7))
+
+    def test_two_odd_reports_do_not_silence_the_server_for_good(self):
+        self.send_heartbeats(3, 1)
+        self.send_heartbeat(sequence=2**59)
+        self.send_heartbeat(sequence=2**58)
+        self.send_heartbeat("i-9", sequence=7, born=500)
+        self.assertTrue(self.send_heartbeats(3, 4))
+
+    def test_delayed_reports_of_an_earlier_start_do_not_return(self):
+        self.send_heartbeat(sequence=1, born=1000)
+        self.send_heartbeat(sequence=1, born=2000)
+        self.clock.advance(3 * HEARTBEAT_SECONDS)
+        self.events.clear()
+        for sequence in range(2, 9):
+            self.send_heartbeat(sequence=sequence, born=1000)
+        self.assertEqual(self.events, [])
+
+    def test_delayed_reports_do_not_displace_a_server_that_reports(self):
+        for number in range(1, 9):
+            self.send_heartbeat(sequence=number, born=2000)
+            self.clock.advance(HEARTBEAT_SECONDS)
+            self.events.clear()
+            self.send_heartbeat(sequence=number, born=1000)
+            self.assertEqual(self.events, [])
+
+    def test_a_server_that_goes_on_reporting_after_its_departure_stays_away(self):
+        self.clock.advance(10.0)
+        self.send_heartbeats(2, 1)
+        self.send("DELETE", "i-1")
+        self.assertFalse(self.send_heartbeats(6, 3))
+        self.reset()
+        self.clock.advance(10.0)
+        self.send("DELETE", "i-1")
+        self.assertFalse(self.send_heartbeats(6, 3))
+
+    def test_a_server_that_starts_again_after_a_clock_step_back_returns(self):
+        self.send_heartbeats(2, 1, born=9000)
+        self.send("DELETE", "i-1")
+        self.assertTrue(self.send_heartbeats(4, 1, born=2000))
+
+    def test_a_server_that_leaves_is_believed_whichever_report_is_later(self):
+        self.send_heartbeat(sequence=2**59)
+        self.send_heartbeat(sequence=5, state="draining")
+        self.assertEqual(self.events, ["i-1", "left"])
+
     def test_invalid_reports_and_those_of_other_servers_are_refused(self):
         for changes in (
             {"service": "orders"},
