Refuse store records with values that cannot be passed on to peers

A record of a service's state, or a head, with a number of forty digits was decoded from the store's JSON and merged. Longer names than records may have were sent, and refused by each peer with the rows beside them. A version text could have a sign, `0x` or underscores.

Cause: only membership records bounded their fields. A msgpack integer has 64 bits, one in JSON any number of digits.

Now the fields of heads, states of services and orders are bounded where they are decoded, as membership records are; a record out of bounds is logged as `record-unreadable` and the others hold. A move's finish time is checked before it is written.

--- a/rattanworks/model/service.py
+++ b/rattanworks/model/service.py
@@ -2,6 +2,17 @@
 
 import enum
 from dataclasses import dataclass, replace
+from typing import Annotated
+
+from msgspec import Meta
+
+from rattanworks.model.endpoint import Counter, Name
+
+# The last second of the year 9999, the highest that renders as a date.
+MAX_TIME_SECONDS = 253_402_300_799
+
+Time = Annotated[float, Meta(ge=0, le=MAX_TIME_SECONDS)]
+Share = Annotated[float, Meta(ge=0, le=1)]
 
 
 class MoveStatus(enum.IntEnum):
@@ -29,19 +40,19 @@
     """
 
     operation_id: str
-    from_version: str
-    to_version: str
+    from_version: Name
+    to_version: Name
     author: str
-    started_at: float
-    finish_by: float
+    started_at: Time
+    finish_by: Time
     status: MoveStatus = MoveStatus.RUNNING
-    stage: int = 0
-    share: float = 0.0
-    holder: str = ""
-    term: int = 0
-    step: int = 0
+    stage: Counter = 0
+    share: Share = 0.0
+    holder: Name = ""
+    term: Counter = 0
+    step: Counter = 0
     reason: str = ""
-    ended_at: float = 0.0
+    ended_at: Time = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +63,11 @@
     ``taken_back_versions`` are the latest versions whose moves were taken back.
     """
 
-    service: str
-    generation: int
-    serving_version: str
+    service: Name
+    generation: Counter
+    serving_version: Name
     move: Move | None = None
-    taken_back_versions: tuple[str, ...] = ()
+    taken_back_versions: tuple[Name, ...] = ()
 
     @property
     def is_moving(self):
--- a/rattanworks/model/version.py
+++ b/rattanworks/model/version.py
@@ -3,6 +3,8 @@
 import hashlib
 from dataclasses import dataclass
 
+from rattanworks.model.endpoint import Counter, Name
+
 
 def content_hash(content):
     """Return the hexadecimal SHA-256 of ``content``, the name of its blob."""
@@ -25,7 +27,7 @@
     hash of the manifest this version was made from, empty for the first.
     """
 
-    version: int
+    version: Counter
     parent_hash: str
     author: str
     message: str
@@ -38,8 +40,8 @@
 class Head:
     """The accepted version: its number and the hash of its manifest."""
 
-    version: int
-    manifest_hash: str
+    version: Counter
+    manifest_hash: Name
 
 
 NO_HEAD = Head(0, "")
--- a/rattanworks/moves/requests.py
+++ b/rattanworks/moves/requests.py
@@ -7,7 +7,12 @@
     StoreAnswerLostError,
     StoreConflictError,
 )
-from rattanworks.model.service import Move, ServiceState, taken_back
+from rattanworks.model.service import (
+    MAX_TIME_SECONDS,
+    Move,
+    ServiceState,
+    taken_back,
+)
 from rattanworks.moves.record import MoveTrail, ServiceRecords
 
 # A move with less time than this cannot gather any evidence.
@@ -102,6 +107,10 @@
             )
 
     def _require_time(self, finish_by):
+        if not finish_by <= MAX_TIME_SECONDS:
+            raise MoveRefusedError(
+                f"{finish_by:g} is no time of the years up to 9999; name an earlier one"
+            )
         left = finish_by - self._clock.now()
         if left <= 0:
             raise MoveRefusedError(
--- a/rattanworks/platform/names.py
+++ b/rattanworks/platform/names.py
@@ -23,7 +23,8 @@
 
 DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
-MAX_VERSION_DIGITS = 16
+VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{1,15}")
+MAX_SHOWN_LENGTH = 40
 
 
 def parse_duration(text):
@@ -41,8 +42,11 @@
 
 def parse_version(text):
     """Return a configuration version from hexadecimal digits; raise ValueError."""
-    if len(text) > MAX_VERSION_DIGITS:
-        raise ValueError(f"{text[:MAX_VERSION_DIGITS]!r}... is too long for a version")
+    if not VERSION_PATTERN.fullmatch(text):
+        raise ValueError(
+            f"{text[:MAX_SHOWN_LENGTH]!r} is not a version: expected up to 15 "
+            "hexadecimal digits"
+        )
     return int(text, 16)
 
 
--- a/rattanworks/tests/distribution/watcher_tests.py
+++ b/rattanworks/tests/distribution/watcher_tests.py
@@ -4,13 +4,15 @@
 from rattanworks.distribution.keys import HEAD
 from rattanworks.distribution.publisher import Publisher
 from rattanworks.distribution.watcher import Watcher
+from rattanworks.model.control import RowsReply
 from rattanworks.model.version import Head
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles.base import DEFAULT_TIMING, LeasedRole
 from rattanworks.standins.store import MemoryStore
 from rattanworks.tests.builders import build_lists
 from rattanworks.tests.fakes import FakeClock, FakeStore
-from rattanworks.utils.codec import encode_json
+from rattanworks.utils.codec import decode_binary, encode_binary, encode_json
+from rattanworks.utils.precedence_table import PrecedenceTable
 
 TIMEOUT_SECONDS = 20.0
 
@@ -69,6 +71,45 @@
         self.store.is_down = False
         self.wait_for_head(self.accept())
 
+    def test_a_state_that_peers_cannot_be_sent_is_skipped(self):
+        services = PrecedenceTable(lambda state: state.service)
+        self.watcher = Watcher(self.role, self.store, services)
+        move = {
+            "operation_id": "x",
+            "from_version": "v1",
+            "to_version": "v2",
+            "author": "ana",
+            "started_at": 1.0,
+            "finish_by": 2.0,
+        }
+        state = {"service": "odd", "generation": 1, "serving_version": "v1"}
+        odd_states = (
+            {**state, "generation": 10**40},
+            {**state, "generation": 2**62},
+            {**state, "generation": -1},
+            {**state, "serving_version": "v" * 1000},
+            {**state, "move": {**move, "term": 10**40}},
+            {**state, "move": {**move, "step": 2**64}},
+            {**state, "move": {**move, "share": 1e300}},
+            {**state, "move": {**move, "finish_by": 1e300}},
+            {**state, "move": {**move, "started_at": -1e300}},
+        )
+        for number, odd in enumerate(odd_states):
+            key = f"shared/services/a{number}"
+            self.store.put(key, encode_json({**odd, "service": f"a{number}"}), ABSENT)
+        self.store.put(
+            "shared/services/b", encode_json({**state, "service": "b"}), ABSENT
+        )
+        self.watcher.watch_once()
+        self.assertEqual(list(services.rows_by_name), ["b"])
+        rows = RowsReply((), tuple(services.rows_by_name.values()))
+        self.assertEqual(decode_binary(encode_binary(rows), RowsReply), rows)
+
+    def test_a_head_that_peers_cannot_be_sent_is_skipped(self):
+        self.store.put(HEAD, encode_json(Head(10**40, "hash")), ABSENT)
+        self.watcher.watch_once()
+        self.assertEqual(self.heads, [])
+
     def test_an_unreadable_record_is_skipped(self):
         self.store.put("shared/services/x", b"\xff{", ABSENT)
         bad = self.store.put(HEAD, b"[" * 100_000, ABSENT)
--- a/rattanworks/tests/moves/orders_tests.py
+++ b/rattanworks/tests/moves/orders_tests.py
@@ -11,7 +11,7 @@
 from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_record
 from rattanworks.tests.fakes import FakeClock, FakeStore
-from rattanworks.utils.codec import decode_json, encode_json
+from rattanworks.utils.codec import DecodeError, decode_json, encode_json
 from rattanworks.utils.precedence_table import PrecedenceTable
 
 
@@ -69,6 +69,11 @@
         self.assertLess(move.finish_by, 120.0)
         self.assertEqual(self.status(), MoveStatus.RUNNING)
 
+    def test_an_order_with_a_time_out_of_range_is_refused(self):
+        for seconds in (1e300, -1.0):
+            with self.subTest(seconds), self.assertRaises(DecodeError):
+                self.order(seconds=seconds)
+
     def test_the_status_and_the_start_of_the_move_are_written_at_once(self):
         self.order()
         self.store.lose_answers = 1
--- a/rattanworks/tests/moves/requests_tests.py
+++ b/rattanworks/tests/moves/requests_tests.py
@@ -56,6 +56,8 @@
         self.assert_refused("name another version", version="v1")
         self.assert_refused("in the past", by=NOW - 1)
         self.assert_refused("too few for any evidence", by=NOW + 2)
+        self.assert_refused("name an earlier one", by=1e300)
+        self.assert_refused("name an earlier one", by=float("nan"))
 
     def test_a_second_move_is_refused_while_one_runs(self):
         self.start()
--- a/rattanworks/tests/platform/names_tests.py
+++ b/rattanworks/tests/platform/names_tests.py
@@ -14,6 +14,9 @@
 
     def test_versions_are_hexadecimal(self):
         self.assertEqual(parse_version("0000000c"), 12)
+        for text in ("-1", "+1", "0x1", "1_0", " 1", "\u0661", "f" * 16, ""):
+            with self.subTest(text), self.assertRaises(ValueError):
+                parse_version(text)
 
     @given(st.text(max_size=40))
     def test_any_other_text_is_refused(self, text):
