--- a/rattanworks/tests/distribution/watcher_tests.py
+++ b/rattanworks/tests/distribution/watcher_tests.py
@@ -105,6 +105,17 @@
         rows = RowsReply((), tuple(services.rows_by_name.values()))
         self.assertEqual(decode_binary(encode_binary(rows), RowsReply), rows)
 
+    def test_a_record_that_describes_another_service_is_skipped(self):
+        services = PrecedenceTable(lambda state: state.service)
+        self.watcher = Watcher(self.role, self.store, services)
+        state = {"service": "catalogue", "generation": 1, "serving_version": "v1"}
+        odd = {**state, "generation": 2**59, "serving_version": "odd"}
+        for service, value in (("catalogue", state), ("other", odd)):
+            key = f"shared/services/{service}"
+            self.store.put(key, encode_json(value), ABSENT)
+        self.watcher.watch_once()
+        self.assertEqual(services.rows_by_name["catalogue"].serving_version, "v1")
+
     def test_a_head_that_peers_cannot_be_sent_is_skipped(self):
         self.store.put(HEAD, encode_json(Head(10**40, "hash")), ABSENT)
         self.watcher.watch_once()
