Keep following the store and the moves after an unexpected error

One error that a loop did not foresee ended its thread: the watcher's (no version, state or order was followed any longer, while its role was still renewed), a role's (the lease lapsed and was never taken again), a replicator's (two of them, then no version was fetched), those that report and evaluate moves, and that of the heartbeats. One record that met such an error also hid the records after it in the same answer of the store.

Cause: these loops caught the project's own errors only. Those of gossip, links and orders were guarded.

Now all of them go through run_guarded, which logs `task-step-failed`, and each record of an answer is handled on its own. The watcher and a role pause after such an error; the source of a fetch waits for its retry time.

Evidence: test_watching_goes_on_after_an_unexpected_error, test_a_record_that_meets_a_defect_does_not_hide_the_others, test_fetches_go_on_after_an_unexpected_error, test_looks_and_reports_go_on_after_an_unexpected_error and test_a_role_is_acquired_after_an_unexpected_error failed before.

--- a/rattanworks/admission/heartbeats.py
+++ b/rattanworks/admission/heartbeats.py
@@ -2,6 +2,8 @@
 
 import threading
 
+from rattanworks.utils.tasks import run_guarded
+
 CHECK_INTERVAL_SECONDS = 0.5
 
 
@@ -25,4 +27,7 @@
 
     def _run(self):
         while not self._stopped.wait(CHECK_INTERVAL_SECONDS):
-            self._owner.check_heartbeat(CHECK_INTERVAL_SECONDS)
+            run_guarded("heartbeats", self._check)
+
+    def _check(self):
+        self._owner.check_heartbeat(CHECK_INTERVAL_SECONDS)
--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -26,6 +26,7 @@
 from rattanworks.utils.backoff import TokenBucket
 from rattanworks.utils.compression import compress
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.tasks import run_guarded
 
 STORE_READS_PER_SECOND = 20.0
 STORE_READ_BURST = 64
@@ -119,7 +120,7 @@
         while not self._stopped.is_set():
             fetch = self._wait_for_fetch()
             if fetch is not None:
-                self.pull(*fetch)
+                run_guarded("replicator", functools.partial(self.pull, *fetch))
 
     def _wait_for_fetch(self):
         with self._changed:
@@ -185,6 +186,10 @@
             self.on_refused()
         except RattanworksError as error:
             self._record_failure(head, source, started_at, error)
+        except Exception as error:
+            # The source must not be asked again at once.
+            self._record_failure(head, source, started_at, error)
+            raise
         else:
             self._settle(head)
 
--- a/rattanworks/distribution/watcher.py
+++ b/rattanworks/distribution/watcher.py
@@ -1,5 +1,6 @@
 """The watcher role: a few nodes watch the store on behalf of all."""
 
+import functools
 import threading
 
 from rattanworks.distribution.archive import decode_head
@@ -16,6 +17,7 @@
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.codec import DecodeError, decode_json
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.tasks import run_guarded
 
 WATCH_SECONDS = 20.0
 RETRY_BASE_SECONDS = 0.5
@@ -83,16 +85,20 @@
     def _run(self, number):
         self._revision = 0
         while self._update_is_watching(number):
-            try:
-                self.watch_once()
-                self._backoff.reset()
-            except HistoryLostError as error:
-                log_event("watch-restarted", reason=str(error))
-                self._revision = 0
-            except StoreError as error:
-                log_event("watch-failed", reason=str(error))
+            if not run_guarded("watcher", self._step):
                 self._stopped.wait(self._backoff.next_delay())
 
+    def _step(self):
+        try:
+            self.watch_once()
+            self._backoff.reset()
+        except HistoryLostError as error:
+            log_event("watch-restarted", reason=str(error))
+            self._revision = 0
+        except StoreError as error:
+            log_event("watch-failed", reason=str(error))
+            self._stopped.wait(self._backoff.next_delay())
+
     def _update_is_watching(self, number):
         with self._lock:
             if number != self._watch_number:
@@ -117,14 +123,16 @@
 
     def _handle(self, entries):
         for entry in entries:
-            if entry.value is None:
-                continue
-            try:
-                self._handle_entry(entry)
-            except (DecodeError, StoreError) as error:
-                log_event("record-unreadable", key=entry.key, reason=str(error))
+            if entry.value is not None:
+                run_guarded("watcher", functools.partial(self._handle_entry, entry))
 
     def _handle_entry(self, entry):
+        try:
+            self._apply_entry(entry)
+        except (DecodeError, StoreError) as error:
+            log_event("record-unreadable", key=entry.key, reason=str(error))
+
+    def _apply_entry(self, entry):
         if entry.key == HEAD:
             self.on_head(decode_head(entry.value))
         elif entry.key.startswith(SERVICES_PREFIX):
--- a/rattanworks/moves/participant.py
+++ b/rattanworks/moves/participant.py
@@ -1,5 +1,6 @@
 """A node's tasks in moves: reporting evidence, evaluating it, holding the role."""
 
+import functools
 import threading
 
 from rattanworks.distribution.keys import move_role_key
@@ -11,6 +12,7 @@
 from rattanworks.moves.record import MoveTrail, ServiceRecords
 from rattanworks.roles.base import LeasedRole
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.tasks import run_guarded
 
 PERIOD_SECONDS = 1.0
 # Owners report at whole seconds of the wall clock, so that sums of different
@@ -70,14 +72,17 @@
         while not self._wait_for(0.0):
             for state in self._services.rows_by_name.values():
                 if state.is_moving:
-                    self._report(state)
+                    run_guarded("evidence", functools.partial(self._report, state))
 
     def _run_looks(self):
         while not self._wait_for(LOOK_OFFSET_SECONDS):
-            try:
-                self.step()
-            except StoreError as error:
-                log_event("move-store-error", reason=str(error))
+            run_guarded("moves", self._look)
+
+    def _look(self):
+        try:
+            self.step()
+        except StoreError as error:
+            log_event("move-store-error", reason=str(error))
 
     def _wait_for(self, offset):
         now = self._clock.now() - offset
--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -15,6 +15,7 @@
 from rattanworks.ports.base import ABSENT, era_of
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.tasks import run_guarded
 
 RETRY_SECONDS = 2.0
 REACQUIRE_SECONDS = 0.5
@@ -128,10 +129,14 @@
         # A random delay keeps nodes that start together from calling the store at once.
         self._stopped.wait(self._random.uniform(0, RETRY_SECONDS / 2))
         while not self._stopped.is_set():
-            pause = self.step()
-            if not self._watch_holder():
-                self._wake.wait(pause)
-                self._wake.clear()
+            if not run_guarded(self._key, self._run_step):
+                self._stopped.wait(self._timing.renew_seconds / 2)
+
+    def _run_step(self):
+        pause = self.step()
+        if not self._watch_holder():
+            self._wake.wait(pause)
+            self._wake.clear()
 
     def _handle_restore(self):
         # Only the holder: its standby nodes need not all read the record at once.
--- a/rattanworks/tests/distribution/spreader_tests.py
+++ b/rattanworks/tests/distribution/spreader_tests.py
@@ -3,9 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rattanworks.bench.fleet import wait_until
 from rattanworks.distribution.configuration import Configuration
 from rattanworks.distribution.keys import blob_key
 from rattanworks.distribution.replicator import STORE_FALLBACK_SECONDS, Replicator
+from rattanworks.distribution.sources import MAX_FETCHES
 from rattanworks.distribution.validation import validate_version
 from rattanworks.exceptions import VersionRefusedError
 from rattanworks.model.control import FetchRequest
@@ -19,6 +21,7 @@
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, FakeStore
 
 RETRY_SECONDS = 3.0
+LIMIT_SECONDS = 30.0
 
 
 class ReplicatorTests(unittest.TestCase):
@@ -52,10 +55,29 @@
         self.replicator.handle_peer_head(head, address)
         self.fetch_all_due()
 
+    def wait_for_requests(self, count):
+        wait_until(lambda: len(self.peers.requests) >= count, LIMIT_SECONDS, "asked")
+
     @property
     def version(self):
         return self.configuration.head.version
 
+    def test_fetches_go_on_after_an_unexpected_error(self):
+        head, contents = build_version(1, build_numbered_lists(0, {"a": "gold"}))
+
+        def meet_defect(message):
+            raise RuntimeError("a defect")
+
+        self.replicator.start()
+        self.addCleanup(self.replicator.stop)
+        for number in range(MAX_FETCHES):
+            self.peers.handlers_by_address[f"bad-{number}"] = meet_defect
+            self.replicator.handle_peer_head(head, f"bad-{number}")
+            self.wait_for_requests(number + 1)
+        self.serve("p2", contents)
+        self.replicator.handle_peer_head(head, "p2")
+        wait_until(lambda: self.version == 1, LIMIT_SECONDS, "in force")
+
     def test_only_missing_blobs_are_fetched(self):
         first, contents = build_version(1, build_numbered_lists(0, {"a": "gold"}))
         self.serve("p1", contents)
--- a/rattanworks/tests/distribution/watcher_tests.py
+++ b/rattanworks/tests/distribution/watcher_tests.py
@@ -1,10 +1,11 @@
 import unittest
 
 from rattanworks.bench.fleet import wait_until
-from rattanworks.distribution.keys import HEAD
+from rattanworks.distribution.keys import HEAD, service_key
 from rattanworks.distribution.publisher import Publisher
 from rattanworks.distribution.watcher import Watcher
 from rattanworks.model.control import RowsReply
+from rattanworks.model.service import ServiceState
 from rattanworks.model.version import Head
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles.base import DEFAULT_TIMING, LeasedRole
@@ -24,6 +25,18 @@
         return super().watch(prefix, after_revision, 0.01)
 
 
+class DefectiveStore(ShortWatchStore):
+    """Raises an unexpected error with its first list."""
+
+    lists = 0
+
+    def list(self, prefix):
+        self.lists += 1
+        if self.lists == 1:
+            raise RuntimeError("a defect")
+        return super().list(prefix)
+
+
 class UnexpectedServices:
     """Fails on any service."""
 
@@ -71,6 +84,23 @@
         self.store.is_down = False
         self.wait_for_head(self.accept())
 
+    def test_watching_goes_on_after_an_unexpected_error(self):
+        store = DefectiveStore(self.memory)
+        self.watcher._store = store
+        head = self.accept()
+        self.role.step()
+        self.wait_for_head(head)
+        self.assertEqual(store.lists, 2)
+
+    def test_a_record_that_meets_a_defect_does_not_hide_the_others(self):
+        state = ServiceState("catalogue", 1, "v1")
+        self.store.put(service_key("catalogue"), encode_json(state), ABSENT)
+        head = Head(1, "hash")
+        self.store.put(HEAD, encode_json(head), ABSENT)
+        self.watcher._services = UnexpectedServices()
+        self.watcher.watch_once()
+        self.assertEqual(self.heads, [head])
+
     def test_a_state_that_peers_cannot_be_sent_is_skipped(self):
         services = PrecedenceTable(lambda state: state.service)
         self.watcher = Watcher(self.role, self.store, services)
--- a/rattanworks/tests/moves/participant_tests.py
+++ b/rattanworks/tests/moves/participant_tests.py
@@ -4,12 +4,15 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from rattanworks.bench.fleet import wait_until
 from rattanworks.model.service import MoveStatus, taken_back
 from rattanworks.moves.candidates import MAX_CANDIDATES, candidates, evidence_target
 from rattanworks.moves.participant import MoveParticipant
 from rattanworks.tests.builders import build_record
 from rattanworks.tests.moves.world import START, World, running_state, services_table
 
+LIMIT_SECONDS = 30.0
+
 
 def owners(count):
     return [build_record(f"node-{number}") for number in range(count)]
@@ -55,6 +58,24 @@
         self.participant.step()
         self.assertEqual(self.world.records.read("catalogue").revision, revision)
 
+    def test_looks_and_reports_go_on_after_an_unexpected_error(self):
+        calls = {"step": 0, "report": 0}
+
+        def fail(name):
+            calls[name] += 1
+            raise IndexError("no such stage")
+
+        self.services.merge((running_state(stage=99),))
+        self.participant.step = lambda: fail("step")
+        self.participant._evidence_log = SimpleNamespace(
+            report=lambda state: fail("report")
+        )
+        self.participant.start()
+        self.addCleanup(self.participant.stop)
+        wait_until(
+            lambda: min(calls.values()) >= 2, LIMIT_SECONDS, "looked and reported twice"
+        )
+
     def test_an_entry_reports_unreachable_calls_once_per_holder_and_term(self):
         sent = []
         self.participant._peers = SimpleNamespace(
--- a/rattanworks/tests/roles/base_tests.py
+++ b/rattanworks/tests/roles/base_tests.py
@@ -35,6 +35,18 @@
         return super().list(prefix)
 
 
+class DefectiveStore(FakeStore):
+    """Raises an unexpected error with its first lease."""
+
+    leases = 0
+
+    def grant_lease(self, ttl):
+        self.leases += 1
+        if self.leases == 1:
+            raise RuntimeError("a defect")
+        return super().grant_lease(ttl)
+
+
 class ForgetfulStore(CountingStore):
     """Drops the history before its latest revision with each watch that it answers.
 
@@ -272,3 +284,12 @@
         self.assertEqual(
             [needed_slots(count, 2) for count in (1, 2, 3, 17)], [2, 2, 1, 1]
         )
+
+
+class DefectTests(unittest.TestCase):
+    def test_a_role_is_acquired_after_an_unexpected_error(self):
+        timing = LeaseTiming(1.4, 0.1)
+        role = LeasedRole(DefectiveStore(), KEY, b"one", SystemClock(), timing=timing)
+        self.addCleanup(role.stop)
+        role.start()
+        wait_until(lambda: role.is_held, LIMIT_SECONDS, "role held")
--- a/rattanworks/utils/tasks.py
+++ b/rattanworks/utils/tasks.py
@@ -6,7 +6,10 @@
 
 
 def run_guarded(task, step):
-    """Run one step of a task; log an unexpected error instead of ending the task."""
+    """Run one step of a task; log an unexpected error instead of ending the task.
+
+    Return whether the step ended without one.
+    """
     try:
         step()
     except Exception as error:
@@ -16,3 +19,5 @@
             reason=repr(error),
             where=traceback.format_exc(limit=-3),
         )
+        return False
+    return True
