Read the other items of a store's answer beside one that cannot be read

One item whose value was not base64, whose revision was out of range, or whose key was missing, of another type or not UTF-8 made the whole page or watch unreadable. The watcher logged `watch-failed` and asked again from the same revision, so that it followed nothing any longer; as its watch covers all keys, the item need not have been one of the product's.

Cause: the items were decoded as one document with the answer.

Now the answer is decoded down to its items, and each item on its own; one that cannot be read is logged as `record-unreadable` and left out. A page without any readable item ends the list with an error rather than asking for the same page again.

Evidence: test_one_item_that_cannot_be_read_does_not_hide_the_others failed before for each of its 10 items. An answer that is no JSON at all, such as one with a lone surrogate in a key, still fails as a whole.

BrokenOffHeadTests names a lease in the form that leases have since their era is in the id.

--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -22,6 +22,7 @@
     StoreRestoredError,
     StoreUnavailableError,
 )
+from rattanworks.model.endpoint import Counter
 from rattanworks.platform.era import EraTracker
 from rattanworks.platform.names import render_duration
 from rattanworks.platform.records import RecordTranslator
@@ -33,12 +34,19 @@
     number_of,
     qualified_revision,
 )
-from rattanworks.utils.codec import JSON_HEADERS, encode_json
+from rattanworks.utils.codec import (
+    JSON_HEADERS,
+    DecodeError,
+    decode_json,
+    encode_json,
+)
+from rattanworks.utils.logging import log_event
 
 # The answer to a watch may take this much longer than the watch itself.
 WATCH_GRACE_SECONDS = 1.0
 MAX_WATCH_SECONDS = 30.0
 MAX_PAGES = 1000
+MAX_SHOWN_BYTES = 80
 
 NO_LEASE = 0
 # Between the era and the number of a lease: the store gives out numbers again.
@@ -55,27 +63,27 @@
 class _Item(msgspec.Struct, frozen=True):
     key: str
     value: bytes = b""
-    revision: int = 0
+    revision: Counter = 0
     is_deleted: bool = msgspec.field(name="tombstone", default=False)
 
 
 class _Page(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...]
+    items: tuple[msgspec.Raw, ...]
     has_more: bool = msgspec.field(name="morePages")
-    store_revision: int = msgspec.field(name="currentRev")
+    store_revision: Counter = msgspec.field(name="currentRev")
 
 
 class _Events(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...] = msgspec.field(name="events")
-    store_revision: int = msgspec.field(name="currentRev")
+    items: tuple[msgspec.Raw, ...] = msgspec.field(name="events")
+    store_revision: Counter = msgspec.field(name="currentRev")
 
 
 class _Written(msgspec.Struct, frozen=True):
-    revision: int
+    revision: Counter
 
 
 class _Conflict(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...] = ()
+    items: tuple[msgspec.Raw, ...] = ()
 
 
 class _Lease(msgspec.Struct, frozen=True):
@@ -140,13 +148,18 @@
             query = {"prefix": wire_prefix, **({"after": after} if after else {})}
             answer = self._read(f"/rattanworks/kv-range?{urlencode(query)}")
             page = decode_answer(answer, _Page)
-            items += page.items
+            readable = _readable_items(page.items)
+            items += readable
             era = self._eras.era_of(answer)
             revisions.append(qualified_revision(era, page.store_revision))
             if not page.has_more or not page.items:
                 self._require_one_era(revisions)
                 return items, revisions[0]
-            after = page.items[-1].key
+            if not readable:
+                raise StoreUnavailableError(
+                    f"no record of a page under {wire_prefix} can be read"
+                )
+            after = readable[-1].key
         raise StoreUnavailableError(
             f"the records under {wire_prefix} have too many pages"
         )
@@ -215,7 +228,7 @@
         era = self._eras.era_of(answer)
         revisions_by_key = {
             item.key: qualified_revision(era, item.revision)
-            for item in decode_answer(answer, _Conflict).items
+            for item in _readable_items(decode_answer(answer, _Conflict).items)
         }
         for write in writes:
             wire_key = self._translator.wire_key(write.key)
@@ -247,7 +260,7 @@
         self._require_watchable(after_revision, era)
         events = decode_answer(answer, _Events)
         return WatchEvent(
-            self._entries(events.items, prefix, era),
+            self._entries(_readable_items(events.items), prefix, era),
             qualified_revision(era, events.store_revision),
         )
 
@@ -352,6 +365,18 @@
     return expected == ABSENT or era_of(expected) == era
 
 
+def _readable_items(contents):
+    """Decode the items of an answer; one that cannot be read hides no other."""
+    items = []
+    for content in contents:
+        try:
+            items.append(decode_json(content, _Item))
+        except DecodeError as error:
+            shown = bytes(content)[:MAX_SHOWN_BYTES].decode("ascii", "replace")
+            log_event("record-unreadable", key=shown, reason=str(error))
+    return items
+
+
 def _common_prefix(prefixes):
     # Several prefixes share one watch of all keys, which costs less than a watch for
     # each; the keys of others are filtered out of its events.
--- a/rattanworks/tests/platform/store_tests.py
+++ b/rattanworks/tests/platform/store_tests.py
@@ -211,7 +211,7 @@
         with self.assertRaises(StoreUnavailableError):
             self.store.get("roles/a")
         with self.assertRaises(StoreAnswerLostError):
-            self.store.renew_lease("7")
+            self.store.renew_lease("0.7")
 
     def test_a_broken_410_does_not_mean_that_history_is_lost(self):
         self.start(raw_answer(b"", status="410 Gone"))
@@ -225,7 +225,48 @@
             self.store.put("roles/a", b"x", ABSENT)
 
 
+ODD_ITEMS = (
+    b'{"key":"mesh/roles/a","value":"!","revision":1}',
+    b'{"key":"mesh/roles/a","value":5,"revision":1}',
+    b'{"key":"mesh/roles/a","value":"","revision":' + b"9" * 5000 + b"}",
+    b'{"key":"mesh/roles/a","value":"","revision":-1}',
+    b'{"key":"mesh/roles/a","value":"","revision":true}',
+    b'{"key":["mesh/roles/a"],"value":"","revision":1}',
+    b'{"value":"","revision":1}',
+    b'{"key":"mesh/roles/\xff","value":"","revision":1}',
+    b"[]",
+    b"null",
+)
+GOOD_ITEM = b'{"key":"mesh/roles/b","value":"eA==","revision":7}'
+
+
 class GarbledAnswerTests(unittest.TestCase):
+    def open_store(self, *bodies):
+        server = ScriptedServer([raw_answer(body) for body in bodies])
+        self.addCleanup(server.close)
+        store = PlatformStore(server.address, "mesh", 5.0, 1.0)
+        self.addCleanup(store.close)
+        return store
+
+    def test_one_item_that_cannot_be_read_does_not_hide_the_others(self):
+        for odd in ODD_ITEMS:
+            with self.subTest(odd[:60]):
+                items = b",".join((odd, GOOD_ITEM, odd))
+                end = b'],"currentRev":9}'
+                store = self.open_store(
+                    b'{"morePages":true,"items":[' + items + end,
+                    b'{"morePages":false,"items":[' + odd + end,
+                    b'{"events":[' + items + end,
+                )
+                listed = store.list("roles/")
+                self.assertEqual([entry.key for entry in listed.entries], ["roles/b"])
+                self.assertEqual(store.watch("roles/", 9, 0.0), listed)
+
+    def test_pages_without_any_readable_item_do_not_repeat_for_ever(self):
+        page = b'{"morePages":true,"items":[' + ODD_ITEMS[0] + b'],"currentRev":9}'
+        with self.assertRaises(StoreUnavailableError):
+            self.open_store(page).list("roles/")
+
     @settings(max_examples=60, deadline=None)
     @given(st.binary(max_size=200))
     def test_no_answer_of_the_store_raises_anything_but_store_errors(self, body):
