Treat an address that cannot be used as a peer that cannot be reached

A record of a peer with a peers address without a port, with one of forty digits or with a host that is no name in DNS raised ValueError, OverflowError or UnicodeError out of the entry's attempt: the caller got 500, and no other endpoint was tried. A port above 65535 was taken modulo 65536, so that the call went to whatever listens there. Values of the watchers' role records were used as contacts whatever they were.

Cause: the port was read with int() and nothing else, outside the errors that a connection is known to raise.

Now split_address reads addresses: the connection of calls fails as for any peer that is down, and a contact that is no address is logged as `record-unreadable` and left out.

Evidence: test_a_peer_whose_address_cannot_be_used_is_not_sent_the_call and test_a_contact_that_is_no_address_is_left_out failed before; in the first, the call to the wrapped port was answered with 200 by another listener.

--- a/rattanworks/membership/contacts.py
+++ b/rattanworks/membership/contacts.py
@@ -9,6 +9,7 @@
 from rattanworks.roles.candidates import candidates
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.sockets import split_address
 
 CHECK_BASE_SECONDS = 1.0
 CHECK_CAP_SECONDS = 60.0
@@ -97,8 +98,16 @@
 
     Raises StoreError.
     """
-    entries = store.list(WATCHERS_PREFIX).entries
-    return [entry.value.decode("ascii", "replace") for entry in entries]
+    addresses = []
+    for entry in store.list(WATCHERS_PREFIX).entries:
+        address = entry.value.decode("ascii", "replace")
+        try:
+            split_address(address)
+        except ValueError as error:
+            log_event("record-unreadable", key=entry.key, reason=str(error))
+            continue
+        addresses.append(address)
+    return addresses
 
 
 def read_contacts(store, own_address):
--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -24,7 +24,7 @@
 from rattanworks.utils import frames
 from rattanworks.utils.answer_limits import AnswerBounds
 from rattanworks.utils.memory_budget import MemoryBudget
-from rattanworks.utils.sockets import FAST_LIVENESS
+from rattanworks.utils.sockets import FAST_LIVENESS, MAX_PORT
 
 
 class PeersTests(PeersCase):
@@ -42,6 +42,23 @@
         self.assertEqual((seen[0].method, seen[0].headers), ("POST", (("X-C", "d"),)))
         self.assertLess(seen[0].deadline - self.clock.monotonic(), TIMEOUT_SECONDS)
 
+    def test_a_peer_whose_address_cannot_be_used_is_not_sent_the_call(self):
+        server = self.serve(lambda message, call: Answer(200))
+        port = int(server.address.rpartition(":")[2])
+        for address in (
+            "",
+            "127.0.0.1",
+            f"127.0.0.1:{MAX_PORT + 1 + port}",
+            "127.0.0.1:" + "9" * 40,
+            "127.0.0.1:-1",
+            "a..b:1",
+            f"{'a' * 100}:1",
+            "\ufffd:1",
+        ):
+            self.record = build_record("owner", peers_address=address)
+            with self.subTest(address), self.assertRaises(CallNotSentError):
+                self.dispatch()
+
     def test_long_bodies_travel_in_pieces_both_ways(self):
         self.serve(lambda message, call: Answer(200, body=b"".join(call.body)))
         for body in (LARGE_BODY, memoryview(LARGE_BODY)):
--- a/rattanworks/tests/membership/contacts_tests.py
+++ b/rattanworks/tests/membership/contacts_tests.py
@@ -3,6 +3,7 @@
 import unittest
 import unittest.mock
 
+from rattanworks.distribution.keys import WATCHERS_PREFIX
 from rattanworks.exceptions import PeerUnavailableError
 from rattanworks.membership.contacts import (
     MAX_PROBED,
@@ -14,6 +15,7 @@
 )
 from rattanworks.model.control import HeadReply
 from rattanworks.model.version import NO_HEAD
+from rattanworks.ports.base import ABSENT
 from rattanworks.tests.fakes import FakeClock, FakeStore
 
 STEP_SECONDS = 0.1
@@ -109,3 +111,10 @@
         store = FakeStore()
         store.is_down = True
         self.assertEqual(read_contacts(store, "127.0.0.1:1"), ())
+
+    def test_a_contact_that_is_no_address_is_left_out(self):
+        store = FakeStore()
+        values = (b"127.0.0.1:99999", b"127.0.0.1:0", b"", b":1", b"host", b"\xff:x")
+        for number, value in enumerate((*values, b"127.0.0.1:2")):
+            store.put(f"{WATCHERS_PREFIX}a/{number}", value, ABSENT)
+        self.assertEqual(read_contacts(store, "127.0.0.1:1"), ("127.0.0.1:2",))
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -14,6 +14,7 @@
     FAST_LIVENESS,
     apply_liveness,
     set_acknowledgement_timeout,
+    split_address,
 )
 from rattanworks.utils.thread_pool import IDLE_SECONDS
 
@@ -142,8 +143,12 @@
 
 def connect_frames(address, timeout):
     """Return a FrameConnection to ``address``; raise OSError."""
-    host, _, port = address.rpartition(":")
-    return FrameConnection(socket.create_connection((host, int(port)), timeout))
+    try:
+        sock = socket.create_connection(split_address(address), timeout)
+    except ValueError as error:
+        # Also raised for a host that is not a name in DNS.
+        raise OSError(f"cannot connect: {error}") from error
+    return FrameConnection(sock)
 
 
 class FrameServer:
--- a/rattanworks/utils/sockets.py
+++ b/rattanworks/utils/sockets.py
@@ -1,8 +1,12 @@
 """Socket options with which the kernel ends connections to silent peers."""
 
+import re
 import socket
 from dataclasses import dataclass
 
+MAX_PORT = 65535
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+MAX_SHOWN_LENGTH = 80
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -48,6 +52,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
+def split_address(address):
+    """Return the host and the port of a HOST:PORT text; raise ValueError."""
+    host, _, port = address.rpartition(":")
+    is_port = PORT_PATTERN.fullmatch(port) and 1 <= int(port) <= MAX_PORT
+    if not host or not is_port:
+        raise ValueError(f"{address[:MAX_SHOWN_LENGTH]!r} is not an address HOST:PORT")
+    return host, int(port)
+
+
 def is_closed_by_peer(sock):
     """Return whether the peer has closed the connection; pending bytes stay unread."""
     try:
