Carry out the other orders beside a service's state that cannot be read

While the stored state of one service could not be decoded, none of the orders after it in the same step was carried out, for as long as the record stayed. A declaration that met such a record, or an outage, left no log line.

Cause: ServiceRecords.read let DecodeError through, which is no StoreError, so that it ended the step of all orders instead of that of one.

--- a/rattanworks/distribution/watcher.py
+++ b/rattanworks/distribution/watcher.py
@@ -10,12 +10,11 @@
     ORDERS_PREFIX,
     SERVICES_PREFIX,
     SHARED_PREFIX,
-    service_key,
 )
-from rattanworks.exceptions import HistoryLostError, StoreError, StoreRecordError
-from rattanworks.model.service import ServiceState
+from rattanworks.distribution.service_states import decode_state
+from rattanworks.exceptions import HistoryLostError, StoreError
 from rattanworks.utils.backoff import FullJitterBackoff
-from rattanworks.utils.codec import DecodeError, decode_json
+from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
 
@@ -136,7 +135,7 @@
         if entry.key == HEAD:
             self.on_head(decode_head(entry.value))
         elif entry.key.startswith(SERVICES_PREFIX):
-            self._services.merge((_decode_state(entry),))
+            self._services.merge((decode_state(entry),))
         elif self._orders is not None:
             self._handle_order_entry(entry)
 
@@ -145,10 +144,3 @@
             self._orders.receive_order(entry)
         elif entry.key.startswith(ORDER_STATUS_PREFIX):
             self._orders.receive_status(entry)
-
-
-def _decode_state(entry):
-    state = decode_json(entry.value, ServiceState)
-    if entry.key != service_key(state.service):
-        raise StoreRecordError(f"the record describes another service, {state.service}")
-    return state
--- a/rattanworks/moves/declaration.py
+++ b/rattanworks/moves/declaration.py
@@ -5,8 +5,9 @@
 from rattanworks.distribution.keys import service_key
 from rattanworks.exceptions import StoreConflictError, StoreError
 from rattanworks.model.service import ServiceState
+from rattanworks.moves.record import ServiceRecords
 from rattanworks.ports.base import ABSENT
-from rattanworks.utils.codec import decode_json, encode_json
+from rattanworks.utils.codec import encode_json
 from rattanworks.utils.logging import log_event
 
 
@@ -59,10 +60,11 @@
 
 def _read_declared(store, services, service):
     try:
-        entry = store.get(service_key(service))
-    except StoreError:
+        recorded = ServiceRecords(store).read(service)
+    except StoreError as error:
+        log_event("service-not-declared", service=service, reason=str(error))
         return False
-    if entry is None:
+    if recorded is None:
         return False
-    services.merge((decode_json(entry.value, ServiceState),))
+    services.merge((recorded.state,))
     return True
--- a/rattanworks/moves/record.py
+++ b/rattanworks/moves/record.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from rattanworks.distribution.keys import move_key, moves_prefix, service_key
+from rattanworks.distribution.service_states import decode_state
 from rattanworks.exceptions import (
     StoreAnswerLostError,
     StoreConflictError,
@@ -44,7 +45,7 @@
         entry = self._store.get(service_key(service))
         if entry is None:
             return None
-        return Recorded(decode_json(entry.value, ServiceState), entry.revision)
+        return Recorded(decode_state(entry), entry.revision)
 
     def known_services(self):
         """Return the names of all services in the store."""
--- a/rattanworks/tests/moves/orders_tests.py
+++ b/rattanworks/tests/moves/orders_tests.py
@@ -69,6 +69,18 @@
         self.assertLess(move.finish_by, 120.0)
         self.assertEqual(self.status(), MoveStatus.RUNNING)
 
+    def test_an_unreadable_state_of_one_service_does_not_hold_up_other_orders(self):
+        state = ServiceState("bakery", 1, "v1")
+        self.store.put(service_key("bakery"), b'{"service":"bakery"}', ABSENT)
+        self.services.merge((state,))
+        odd = MoveOrder("bakery", "v2", 20.0)
+        self.orders.receive_order(
+            self.store.put(order_key("bakery"), encode_json(odd), ABSENT)
+        )
+        self.order()
+        self.step()
+        self.assertEqual(self.recorded().move.to_version, "v2")
+
     def test_an_order_with_a_time_out_of_range_is_refused(self):
         for seconds in (1e300, -1.0):
             with self.subTest(seconds), self.assertRaises(DecodeError):
