Write the status of an order over a record that cannot be read

With an unreadable record at the status of a service, no move of that service was ever started: the start and the status are one transaction, and the status was expected to be absent. Reading it again to learn its revision raised DecodeError, which also ended the step of the other orders.

Cause: the revision of a status was kept only with its decoded value.

Now it is kept also when the value cannot be read, so that the next write replaces the record.

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from rattanworks.distribution.keys import order_status_key
+from rattanworks.distribution.keys import ORDER_STATUS_PREFIX, order_status_key
 from rattanworks.exceptions import (
     MoveRefusedError,
     StoreAnswerLostError,
@@ -17,7 +17,7 @@
 from rattanworks.moves.record import ServiceRecords
 from rattanworks.moves.requests import MoveRequests
 from rattanworks.ports.base import ABSENT, Write, era_of, number_of
-from rattanworks.utils.codec import decode_json, encode_json
+from rattanworks.utils.codec import DecodeError, decode_json, encode_json
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
 
@@ -141,7 +141,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _StoredStatus:
-    status: OrderStatus
+    status: OrderStatus | None
     revision: int
 
 
@@ -215,13 +215,21 @@
         self._wake.set()
 
     def receive_status(self, entry):
-        """Update the status of an order from the store; raise DecodeError."""
-        status = decode_json(entry.value, OrderStatus)
-        known = self._statuses_by_service.get(status.service)
-        if known is None or known.revision < entry.revision:
-            self._statuses_by_service[status.service] = _StoredStatus(
-                status, entry.revision
-            )
+        """Update the status of an order from the store; raise DecodeError.
+
+        Of a record that cannot be read the revision is kept, over which the next
+        status is written.
+        """
+        service = entry.key.removeprefix(ORDER_STATUS_PREFIX)
+        known = self._statuses_by_service.get(service)
+        if known is not None and known.revision >= entry.revision:
+            return
+        try:
+            status = decode_json(entry.value, OrderStatus)
+        except DecodeError:
+            self._statuses_by_service[service] = _StoredStatus(None, entry.revision)
+            raise
+        self._statuses_by_service[service] = _StoredStatus(status, entry.revision)
 
     def _run(self):
         while not self._stopped.is_set():
@@ -384,8 +392,9 @@
 
 def _is_end_of(status, running):
     # Written by a node that knew more: this one has yet to learn of the end.
-    is_running = running.status == MoveStatus.RUNNING
-    return is_running and status.to_version == running.to_version
+    if status is None or running.status != MoveStatus.RUNNING:
+        return False
+    return status.to_version == running.to_version
 
 
 def _log_status(status):
--- a/rattanworks/tests/moves/orders_tests.py
+++ b/rattanworks/tests/moves/orders_tests.py
@@ -81,6 +81,15 @@
         self.step()
         self.assertEqual(self.recorded().move.to_version, "v2")
 
+    def test_a_status_that_cannot_be_read_is_replaced(self):
+        odd = self.store.put(order_status_key("catalogue"), b"[[[", ABSENT)
+        with self.assertRaises(DecodeError):
+            self.orders.receive_status(odd)
+        self.order()
+        self.step()
+        self.assertEqual(self.status(), MoveStatus.RUNNING)
+        self.assertEqual(self.recorded().move.to_version, "v2")
+
     def test_an_order_with_a_time_out_of_range_is_refused(self):
         for seconds in (1e300, -1.0):
             with self.subTest(seconds), self.assertRaises(DecodeError):
