Refuse an order that lies at the key of another service

An order at shared/orders/bakery that names service `catalogue` moved `catalogue`, and hid the order of `catalogue` itself if that had a lower revision.

Cause: as with states of services, the service was taken from the value alone.

Evidence: test_an_order_at_the_key_of_another_service_is_refused failed before (StoreRecordError not raised).

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -5,12 +5,17 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from rattanworks.distribution.keys import ORDER_STATUS_PREFIX, order_status_key
+from rattanworks.distribution.keys import (
+    ORDER_STATUS_PREFIX,
+    order_key,
+    order_status_key,
+)
 from rattanworks.exceptions import (
     MoveRefusedError,
     StoreAnswerLostError,
     StoreConflictError,
     StoreError,
+    StoreRecordError,
 )
 from rattanworks.model.order import MoveOrder, OrderStatus
 from rattanworks.model.service import MoveStatus
@@ -177,8 +182,13 @@
         self._wake.set()
 
     def receive_order(self, entry):
-        """Add an order read from the store; raise DecodeError."""
+        """Add an order read from the store; raise DecodeError or StoreRecordError."""
         order = decode_json(entry.value, MoveOrder)
+        if entry.key != order_key(order.service):
+            raise StoreRecordError(
+                f"the order is for another service, {order.service}; check which tool "
+                "wrote it"
+            )
         now = self._clock.monotonic()
         with self._lock:
             orders = self._orders_by_service.setdefault(order.service, _ServiceOrders())
--- a/rattanworks/tests/moves/orders_tests.py
+++ b/rattanworks/tests/moves/orders_tests.py
@@ -5,6 +5,7 @@
 import unittest
 
 from rattanworks.distribution.keys import order_key, order_status_key, service_key
+from rattanworks.exceptions import StoreRecordError
 from rattanworks.model.order import MoveOrder, OrderStatus
 from rattanworks.model.service import MoveStatus, ServiceState, done, taken_back
 from rattanworks.moves.orders import DRAIN_SECONDS, MoveOrders
@@ -81,6 +82,14 @@
         self.step()
         self.assertEqual(self.recorded().move.to_version, "v2")
 
+    def test_an_order_at_the_key_of_another_service_is_refused(self):
+        order = MoveOrder("catalogue", "v2", 20.0)
+        entry = self.store.put(order_key("bakery"), encode_json(order), ABSENT)
+        with self.assertRaises(StoreRecordError):
+            self.orders.receive_order(entry)
+        self.step()
+        self.assertIsNone(self.recorded().move)
+
     def test_a_status_that_cannot_be_read_is_replaced(self):
         odd = self.store.put(order_status_key("catalogue"), b"[[[", ABSENT)
         with self.assertRaises(DecodeError):
