Bound the Retry-After that a backend server sends

A refusal with a Retry-After of 400 digits became an infinite time: callers were sent `Retry-After: inf`, and the product's own callers' interface failed on it (OverflowError in math.ceil, so 500 instead of the refusal).

Cause: the digits were converted to a float without a bound.

Evidence: test_a_servers_retry_after_is_a_number_that_callers_can_be_sent failed before.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -22,6 +22,7 @@
 
 LEAVING_RETRY_AFTER_SECONDS = 0.05
 MIN_SHED_RETRY_AFTER_SECONDS = 0.05
+MAX_SHED_RETRY_AFTER_SECONDS = 3600.0
 RETRY_AFTER_HEADER = "retry-after"
 MAX_MISSED_HEARTBEATS = 3
 MIN_VERSION_SHARE = 0.01
@@ -378,5 +379,7 @@
     ]
     headers = [pair for pair in answer.headers if pair[0].lower() != RETRY_AFTER_HEADER]
     seconds = float(values[0]) if values and values[0].isdecimal() else 0.0
-    retry_after = max(seconds, MIN_SHED_RETRY_AFTER_SECONDS)
+    retry_after = min(
+        max(seconds, MIN_SHED_RETRY_AFTER_SECONDS), MAX_SHED_RETRY_AFTER_SECONDS
+    )
     return replace(answer, headers=tuple(headers), retry_after=retry_after)
--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -1,5 +1,6 @@
 """What the owner runs and refuses, and how its backend server joins and leaves."""
 
+import math
 import threading
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -77,6 +78,14 @@
                 self.assertEqual(answer.outcome, Outcome.NOT_RUN)
         self.assertEqual(self.backend.runs, [])
 
+    def test_a_servers_retry_after_is_a_number_that_callers_can_be_sent(self):
+        headers = (("Retry-After", "9" * 400),)
+        shed = Answer(503, headers, outcome=Outcome.NOT_RUN)
+        self.attach(FakeBackendServer(lambda call: shed))
+        answer = self.dispatch()
+        self.assertTrue(math.isfinite(answer.retry_after))
+        self.assertEqual(answer.headers, ())
+
     def test_a_broken_exchange_is_never_reported_as_not_run(self):
         def break_off(call):
             raise CallOutcomeUnknownError("cut")
