Report settings that cannot be read instead of ending the process

A settings file with deep nesting, a number of more than 4300 digits or a hexadecimal one that long ended the node with a traceback, at start and when the changed file was read again while it served (RecursionError, ValueError). A port of 99999 was accepted. On the platform a retry budget of `nan`, or a grace period of a hundred digits, with which no wait can be made, was accepted as well.

Cause: tomllib raises more than TOMLDecodeError; an address was checked for five digits and not for its value; the platform's texts were not bounded.

Now these are faults of the file like any other: exit status 2 at start, `settings-refused` on a reload, where the old settings stay.

Evidence: before, load_settings raised RecursionError, ValueError and ValueError for three of the four new files of bad_input_tests and accepted the fourth, with which the node then started; test_numbers_out_of_range_are_refused failed before.

--- a/rattanworks/platform/settings.py
+++ b/rattanworks/platform/settings.py
@@ -18,6 +18,7 @@
     read_toml,
 )
 from rattanworks.settings.node import NODE, ListenSettings, NodeSettings
+from rattanworks.utils.sockets import MAX_PORT
 
 SETTINGS_PATH_VARIABLE = "RATTANWORKS_NODE_FILE"
 # Share of a host's memory for the bodies of large requests and answers. A node of the
@@ -34,9 +35,10 @@
 # Index of the control listener's port in ``ports``, the ports for traffic among nodes.
 CONTROL_PORT_INDEX = 0
 
-MAX_PORT = 65535
 MAX_MEMORY_MB = 1024 * 1024
 MEGABYTE = 1000 * 1000
+MAX_SECONDS = 24 * 3600.0
+MAX_NUMBER = 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,8 +119,8 @@
         return PlatformSettings(
             node=_with_bounds(node, bounds),
             backend_address=table.backend,
-            heartbeat_seconds=parse_duration(table.heartbeat),
-            min_lease_seconds=parse_duration(table.least_lease),
+            heartbeat_seconds=_seconds(table.heartbeat),
+            min_lease_seconds=_seconds(table.least_lease),
         )
     except ValueError as error:
         faults.add("platform", "times and numbers", str(error), "correct the value")
@@ -155,19 +157,33 @@
     return dataclasses.replace(node, traffic=traffic)
 
 
+def _number(text):
+    number = float(text)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"{text!r} is not a number from 0 to {MAX_NUMBER:g}")
+    return number
+
+
+def _seconds(text):
+    seconds = parse_duration(text)
+    if seconds > MAX_SECONDS:
+        raise ValueError(f"{text!r} is more than {MAX_SECONDS:g} s")
+    return seconds
+
+
 def _with_bounds(node, bounds):
     if "grace" in bounds:
         drain = dataclasses.replace(
             node.drain,
-            timeout_seconds=parse_duration(bounds["grace"]),
+            timeout_seconds=_seconds(bounds["grace"]),
             accept_seconds=ACCEPT_SECONDS,
         )
         node = dataclasses.replace(node, drain=drain)
     if "retryBudgetRatio" in bounds:
         retries = dataclasses.replace(
             node.retries,
-            share=RETRY_BUDGET_SHARE * float(bounds["retryBudgetRatio"]),
-            mesh_burst=RETRY_BUDGET_SHARE * float(bounds.get("budgetSlack", 0)),
+            share=RETRY_BUDGET_SHARE * _number(bounds["retryBudgetRatio"]),
+            mesh_burst=RETRY_BUDGET_SHARE * _number(bounds.get("budgetSlack", 0)),
             per_second=0.0,
         )
         node = dataclasses.replace(node, retries=retries)
--- a/rattanworks/settings/base.py
+++ b/rattanworks/settings/base.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from rattanworks.exceptions import InvalidInputError, InvalidInputGroup
+from rattanworks.utils.sockets import MAX_PORT
 
 MAX_FILE_BYTES = 1024 * 1024
 
@@ -86,13 +87,20 @@
 
 
 class Address(Text):
-    """A HOST:PORT pair."""
+    """A HOST:PORT pair; port 0 is for any free one."""
 
     def __init__(self, default=REQUIRED):
         super().__init__(
-            default, pattern=r"[0-9A-Za-z.:\[\]-]+:\d{1,5}", expected="HOST:PORT"
+            default, pattern=r"[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}", expected="HOST:PORT"
         )
 
+    def validate(self, value, key, faults):
+        """Return the address."""
+        address = super().validate(value, key, faults)
+        if address is not None and int(address.rpartition(":")[2]) > MAX_PORT:
+            return self._reject(value, key, faults)
+        return address
+
 
 class Number(Option):
     """A number within bounds; whole numbers only when ``whole`` is set."""
@@ -225,7 +233,11 @@
 
 
 def _describe(value):
-    text = repr(value)
+    try:
+        text = repr(value)
+    except ValueError:
+        # Python limits the decimal digits of integers, not the hexadecimal ones.
+        return "a number of too many digits"
     return text if len(text) <= 60 else f"{text[:57]}..."
 
 
@@ -263,6 +275,9 @@
         )
     except tomllib.TOMLDecodeError as error:
         faults.add("", "valid TOML without duplicates", str(error), "correct the line")
+    except (RecursionError, ValueError) as error:
+        # tomllib lets these through for deep nesting and numbers of many digits.
+        faults.add("", "TOML that can be read", str(error), "correct the value")
     return None
 
 
--- a/rattanworks/settings/node.py
+++ b/rattanworks/settings/node.py
@@ -14,9 +14,9 @@
     name_option,
 )
 from rattanworks.settings.moves import MOVES, MoveSettings
+from rattanworks.utils.sockets import MAX_PORT
 
 ANY_PORT = 0
-MAX_PORT = 65535
 MEBIBYTE = 1024 * 1024
 
 
--- a/rattanworks/tests/commands/bad_input_tests.py
+++ b/rattanworks/tests/commands/bad_input_tests.py
@@ -34,6 +34,12 @@
     "missing key": NODE_SETTINGS.replace(b'name = "node-1"\n', b""),
     "duplicate": NODE_SETTINGS + b'address = "127.0.0.1:1"\n',
     "bad address": NODE_SETTINGS.replace(b"127.0.0.1:7100", b"nowhere"),
+    "port out of range": NODE_SETTINGS.replace(b"7100", b"99999"),
+    "nested too deeply": NODE_SETTINGS + b"[drain]\nx = " + b"[" * 100_000,
+    "too many digits": NODE_SETTINGS + b"[listen]\nlocal_port = " + b"9" * 5000,
+    "too many hexadecimal digits": NODE_SETTINGS
+    + b"[listen]\nlocal_port = 0x"
+    + b"f" * 5000,
     "empty": b"",
     "not UTF-8": NODE_SETTINGS + b"# \xff\n",
     "two megabytes": NODE_SETTINGS + b"#" * 2_000_000,
--- a/rattanworks/tests/platform/settings_tests.py
+++ b/rattanworks/tests/platform/settings_tests.py
@@ -2,6 +2,7 @@
 import unittest
 from pathlib import Path
 
+from rattanworks.exceptions import InvalidInputGroup
 from rattanworks.platform.settings import load_platform_settings
 from rattanworks.tests.platform.builders import build_settings_text
 
@@ -12,11 +13,14 @@
 
 
 class PlatformSettingsTests(unittest.TestCase):
-    def node(self, **fields):
+    def load(self, text):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "node.toml"
-            path.write_text(build_settings_text(**fields))
-            return load_platform_settings(path).node
+            path.write_text(text)
+            return load_platform_settings(path)
+
+    def node(self, **fields):
+        return self.load(build_settings_text(**fields)).node
 
     def test_large_bodies_leave_enough_memory_for_the_node_of_a_small_host(self):
         for memory_mb in (200, 300, 552):
@@ -33,6 +37,16 @@
             self.node().traffic.large_bodies_bytes, DEFAULT_LARGE_BODIES_BYTES
         )
 
+    def test_numbers_out_of_range_are_refused(self):
+        for old, new in (
+            ("grace=2s", f"grace={'9' * 100}s"),
+            ("retryBudgetRatio=0.2", "retryBudgetRatio=nan"),
+            ("budgetSlack=58", "budgetSlack=1e999"),
+            ('heartbeat = "30s"', f'heartbeat = "{"9" * 100}s"'),
+        ):
+            with self.subTest(new[:40]), self.assertRaises(InvalidInputGroup):
+                self.load(build_settings_text().replace(old, new))
+
     def test_a_stop_may_take_the_whole_grace_period(self):
         drain = self.node(grace="7s").drain
         self.assertEqual(drain.timeout_seconds, 7.0)
