Keep writing a page of claims after a record that cannot be indexed

A claim whose key was not hexadecimal digits alone, such as "-1", raised OverflowError while its slice was indexed. The writer of the page ended with its changes unresolved and was marked as active, so that every later claim of the page waited for its time and was refused, also after the record had gone.

Cause: the writer handled two kinds of error of a page and no other.

Now any error fails the batch, whose claims are refused as not run, and is logged as `record-unreadable`; the next batch reads the page again.

Evidence: test_a_page_goes_on_when_a_claim_of_another_writer_is_gone failed before (503 != 200 after the page was restored).

--- a/rattanworks/ledger/page_view.py
+++ b/rattanworks/ledger/page_view.py
@@ -46,6 +46,11 @@
         self._prefixes_by_revision = {}
         self.is_current = False
 
+    @property
+    def key(self):
+        """Return the key of the page's head."""
+        return self._head_key
+
     @property
     def is_full(self):
         """Return whether the page holds too many keys for a new claim.
--- a/rattanworks/ledger/page_writer.py
+++ b/rattanworks/ledger/page_writer.py
@@ -13,7 +13,7 @@
 from rattanworks.ledger.page import AcquireClaim, ReleaseClaim, apply_change
 from rattanworks.model.claim import ClaimState
 from rattanworks.utils.backoff import FullJitterBackoff
-from rattanworks.utils.codec import DecodeError
+from rattanworks.utils.logging import log_event
 
 MAX_WRITE_ATTEMPTS = 8
 BURST_WRITES = 4
@@ -91,7 +91,10 @@
                 self._outage_backoff.reset()
             except StoreError as error:
                 self._fail(batch, error)
-            except (DecodeError, ValueError) as error:
+            except Exception as error:
+                # One of the page's records came from another writer. Its claims are
+                # refused until the record is restored.
+                log_event("record-unreadable", key=self._view.key, reason=repr(error))
                 self._fail(batch, StoreUnavailableError(f"unreadable page: {error}"))
 
     def _wait_for_write_slot(self):
--- a/rattanworks/tests/ledger/ledger_tests.py
+++ b/rattanworks/tests/ledger/ledger_tests.py
@@ -12,13 +12,18 @@
 from rattanworks.exceptions import StoreAnswerLostError
 from rattanworks.ledger import page_view
 from rattanworks.ledger.claims import MAX_KEPT_BODY_BYTES, ClaimLedger
+from rattanworks.ledger.page import PageHead, SealedSlice, SliceReference
 from rattanworks.ledger.pages import PagedClaims
 from rattanworks.model.call import Answer, Outcome, refusal, unknown_outcome
+from rattanworks.model.claim import Claim, ClaimState
+from rattanworks.ports.base import ABSENT
 from rattanworks.standins.store import MemoryStore
 from rattanworks.tests.builders import build_call
 from rattanworks.tests.fakes import FakeClock, FakeStore
+from rattanworks.utils.codec import encode_binary
 
 LIMIT_SECONDS = 30.0
+PAGES = 2
 DAY_SECONDS = 24 * 3600.0
 
 
@@ -27,7 +32,7 @@
 
     def __init__(self, memory, clock):
         self.store = FakeStore(memory)
-        self.table = PagedClaims(self.store, clock, pages=2, interval=0.0)
+        self.table = PagedClaims(self.store, clock, pages=PAGES, interval=0.0)
         self.ledger = ClaimLedger(self.table, clock)
 
 
@@ -59,6 +64,27 @@
         return (node or self.nodes[0]).ledger.run_once(call, run or self.run_call)
 
 
+class OddRecordTests(LedgerTestCase):
+    def put_heads(self, claims=(), slices=()):
+        head = encode_binary(PageHead(claims, slices))
+        for page in range(PAGES):
+            key = f"claims/{page:03}"
+            known = self.memory.get(key)
+            self.memory.put(key, head, known.revision if known else ABSENT)
+
+    def test_a_page_goes_on_when_a_claim_of_another_writer_is_gone(self):
+        odd = Claim("-1", "x", ClaimState.UNKNOWN, "x", 0.0, 0.0)
+        self.put_heads(slices=(SliceReference(5, 1000.0),))
+        for page in range(PAGES):
+            key = f"claims/{page:03}/5"
+            self.memory.put(key, encode_binary(SealedSlice((odd,))), ABSENT)
+        for _ in range(2):
+            answer = self.order()
+            self.assertEqual((answer.status, answer.outcome), (503, Outcome.NOT_RUN))
+        self.put_heads()
+        self.assertEqual(self.order().status, 200)
+
+
 class OnceTests(LedgerTestCase):
     def test_the_same_key_at_five_nodes_at_once_runs_once(self):
         self.order(key="warm")
