Keep serving when a caller leaves after a request that cannot be read

What callers would see: nothing any more. One request with a malformed head, whose connection ended before its 400 was sent, ended the thread that reads all connections of that listener: no other request was read until the node started anew.

Cause: LoggedChannel.handle_close logs the path of the unanswered request, and waitress sets none for a head that it cannot read. The AttributeError came up again in waitress's own error handling, which closes the channel too, and left the loop.

Evidence: found while sending malformed heads to HttpServer: after the second one every answer was empty, with "Exception in thread".

Why the fix works: the parser has a path, empty, from the start.

--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -5,11 +5,13 @@
 import unittest.mock
 
 from rattanworks.bench.fleet import wait_until
+from rattanworks.tests.servers import exchange_raw
 from rattanworks.utils import http_parts
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.wsgi import Response, path_of, respond
 
 LIMIT_SECONDS = 30.0
+MALFORMED_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n"
 
 
 class DrainTests(unittest.TestCase):
@@ -101,6 +103,26 @@
         self.assertEqual(call.kwargs["request_id"], "r-cut")
         self.assertEqual(call.kwargs["reason"], "stopped")
 
+    def test_a_caller_that_leaves_after_a_malformed_request_does_not_end_the_server(
+        self,
+    ):
+        server = HttpServer(self.app, "127.0.0.1", 0, 1, 1024, "malformed")
+        server.start()
+        self.addCleanup(server.stop)
+        connection = http.client.HTTPConnection(server.address, timeout=LIMIT_SECONDS)
+        self.addCleanup(connection.close)
+        # Takes the only thread, so that the malformed request stays unanswered.
+        connection.request("GET", "/slow")
+        self.assertTrue(self.started.wait(LIMIT_SECONDS))
+        with unittest.mock.patch.object(http_parts, "log_event") as log_event:
+            exchange_raw(server.address, MALFORMED_REQUEST, half_close=True)
+            wait_until(lambda: log_event.called, LIMIT_SECONDS, "the cut is logged")
+        self.assertEqual(log_event.call_args.args, ("call-cut",))
+        self.release.set()
+        self.assertEqual(connection.getresponse().read(), b"whole")
+        connection.request("GET", "/next")
+        self.assertEqual(connection.getresponse().read(), b"whole")
+
     def _has_ended(self, sock):
         sock.settimeout(0.05)
         try:
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -74,6 +74,8 @@
     """
 
     budget = None
+    # Waitress sets no path for a request whose head it cannot read.
+    path = ""
 
     def __init__(self, adj):
         # A copy, since the limits may change while the request arrives.
