Take an answer of the node without an outcome for an unknown one

What callers of the library would see: for a call with an idempotency key, an answer of the node without X-Request-Outcome, such as waitress's own 500 after a fault in the node, had the outcome "not run", by which a caller may send the call again.

Cause: not-run was the default where the header is missing.

Evidence: test_an_answer_without_an_outcome_does_not_say_that_nothing_ran failed before for 500, 503 and 200: not-run instead of unknown.

Why the fix works: only for 400, 413 and 431, which the documentation names as the statuses without an outcome, is the request known not to have been read.

--- a/rattanworks/client.py
+++ b/rattanworks/client.py
@@ -31,6 +31,8 @@
 READY_POLL_SECONDS = 0.02
 DEFAULT_TIMEOUT_SECONDS = 5.0
 NODE_CONNECTIONS = 16
+# The node could not read the request; these answers carry no outcome.
+UNREAD_STATUSES = frozenset({400, 413, 431})
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +171,14 @@
         answer = self._node_pool.exchange(
             request.method, request.target, headers, request.body, timeout
         )
-        outcome = answer.header("x-request-outcome", Outcome.NOT_RUN)
+        default = Outcome.UNKNOWN
+        if answer.status in UNREAD_STATUSES:
+            default = Outcome.NOT_RUN
         return Answer(
             status=answer.status,
             headers=answer_headers(answer.headers),
             body=answer.body,
-            outcome=Outcome(outcome),
+            outcome=Outcome(answer.header("x-request-outcome", default)),
             retry_after=float(answer.header("retry-after", "0")),
         )
 
