Refuse announcements with values that cannot be used

The product's own listener for the backend server took the same values as the platform's heartbeats: slots of forty digits and versions of a thousand characters, which peers cannot be sent, and a port of 99999. An address without a port was answered with 500.

Cause: as with the heartbeats, only a lower bound of two numbers was checked.

--- a/rattanworks/adapters/http_local.py
+++ b/rattanworks/adapters/http_local.py
@@ -2,6 +2,7 @@
 
 from rattanworks.model.announcement import Announcement
 from rattanworks.utils.codec import DecodeError, decode_json
+from rattanworks.utils.sockets import split_address
 from rattanworks.utils.wsgi import Response, path_of, read_body, respond
 
 ANNOUNCE_PATH = "/rattanworks/announce"
@@ -34,10 +35,9 @@
     def _announce(self, environ):
         try:
             announcement = decode_json(read_body(environ), Announcement)
-        except DecodeError as error:
+            split_address(announcement.address)
+        except (DecodeError, ValueError) as error:
             return Response(400, f"{error}; see the page on stand-ins\n".encode())
-        if announcement.slots < 1 or announcement.connections < 1:
-            return Response(400, b"slots and connections must be at least 1\n")
         self._on_announce(announcement)
         return Response(204)
 
--- a/rattanworks/model/announcement.py
+++ b/rattanworks/model/announcement.py
@@ -1,6 +1,17 @@
 """Announcements of a backend server to the node beside it."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from rattanworks.model.endpoint import Counter, Name
+
+# A server runs one call at a time on a connection, and an address has so many ports.
+MAX_SLOTS = 65_535
+MAX_HEARTBEAT_SECONDS = 3600
+
+Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,14 +26,14 @@
     server does not report it.
     """
 
-    service: str
-    version: str
-    address: str
-    slots: int
-    connections: int
-    instance: str = ""
-    heartbeat_seconds: float = 0.0
-    started_at: int = 0
+    service: Name
+    version: Name
+    address: Name
+    slots: Slots
+    connections: Slots
+    instance: Name = ""
+    heartbeat_seconds: Annotated[float, Meta(ge=0, le=MAX_HEARTBEAT_SECONDS)] = 0.0
+    started_at: Counter = 0
 
     @property
     def identity(self):
--- a/rattanworks/platform/instances.py
+++ b/rattanworks/platform/instances.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from rattanworks.model.announcement import Announcement, Report
+from rattanworks.model.announcement import Announcement, Report, Slots
 from rattanworks.model.endpoint import MAX_NAME_LENGTH, Counter, Name
 from rattanworks.platform.names import INSTANCES_PATH
 from rattanworks.utils.codec import decode_json
@@ -13,8 +13,6 @@
 from rattanworks.utils.wsgi import Response, json_response, path_of, read_body, respond
 
 MAX_REPORT_BYTES = 64 * 1024
-# A server runs one call at a time on a connection, and an address has so many ports.
-MAX_SLOTS = 65_535
 # How far the clock that dated a server's start may be ahead of this node's.
 MAX_START_AHEAD_SECONDS = 24 * 3600.0
 MILLISECONDS_PER_SECOND = 1000
@@ -27,7 +25,7 @@
     service: Name
     address: Name
     version: Annotated[Name, msgspec.Meta(min_length=1)]
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    slots: Slots
     state: Name
     sequence: Counter
     # Milliseconds since the Unix epoch at which the server started.
