Read no operator's record in the product's own form

A record of the operator that does not decode in the platform's form was handed on as it was. In the product's form it then counted: an op/config of {"version": 9, "manifest_hash": "x"} was announced as head 9, which every node tried to fetch from then on, and an order or a status took effect.

Cause: the fallback relied on the later decoder to fail as well.

Now the value of such a record is empty, and the reason is logged where the platform's form is decoded.

Evidence: test_an_operators_record_in_the_products_form_is_not_read failed before (three values instead of b"").

--- a/rattanworks/platform/records.py
+++ b/rattanworks/platform/records.py
@@ -90,14 +90,15 @@
             ]
         return prefixes
 
-    def product_value_or_raw(self, key, value):
-        """Return a value in the product's form, unchanged if it cannot be decoded."""
-        # One invalid record must not hide the other records of a list or a watch. Code
-        # that decodes its value later fails as well and logs the error.
+    def product_value_or_empty(self, key, value):
+        """Return a value in the product's form, b"" if it cannot be decoded."""
+        # One invalid record must not hide the other records of a list or a watch. The
+        # value itself might decode in the product's form, which is not the operator's.
         try:
             return self.product_value(key, value)
-        except StoreRecordError:
-            return value
+        except StoreRecordError as error:
+            log_event("record-unreadable", key=key, reason=str(error))
+            return b""
 
     def product_value(self, key, value):
         """Return a value in the product's form; raise StoreRecordError."""
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -334,7 +334,7 @@
             value = (
                 None
                 if item.is_deleted
-                else self._translator.product_value_or_raw(key, item.value)
+                else self._translator.product_value_or_empty(key, item.value)
             )
             revision = qualified_revision(era, item.revision)
             entries.append(StoreEntry(key, value, revision))
--- a/rattanworks/tests/platform/odd_entries_tests.py
+++ b/rattanworks/tests/platform/odd_entries_tests.py
@@ -237,7 +237,7 @@
         self.watcher.on_head = self.heads.append
 
     def put(self, key, content):
-        value = RecordTranslator("mesh/").product_value_or_raw(key, content)
+        value = RecordTranslator("mesh/").product_value_or_empty(key, content)
         self.store.put(key, value, ABSENT)
 
     @seed(SEED)
--- a/rattanworks/tests/platform/store_tests.py
+++ b/rattanworks/tests/platform/store_tests.py
@@ -176,6 +176,20 @@
         with self.assertRaises(StoreRecordError):
             self.store.get(HEAD)
 
+    def test_an_operators_record_in_the_products_form_is_not_read(self):
+        head = Head(9, "hash")
+        order = MoveOrder("catalogue", "v2", 12.0)
+        status = OrderStatus("catalogue", "v2", MoveStatus.DONE)
+        for key, value in (
+            ("op/config", head),
+            ("op/rollout/catalogue", order),
+            ("status/rollout/catalogue", status),
+        ):
+            self.platform.write_as_operator(key, encode_json(value))
+        entries = self.store.list(SHARED_PREFIX).entries
+        self.assertEqual({entry.value for entry in entries}, {b""})
+        self.assertEqual(len(entries), 3)
+
     def test_refusals_mean_that_nothing_was_done(self):
         for status in (429, 503):
             self.platform.next_statuses = [status]
