Refuse messages of peers with a number out of range

An owner's clock that was NaN or infinite stayed in the entry's estimate, so that the deadlines of all later calls on that connection were NaN; a load of NaN cannot be compared with others when an endpoint is chosen.

Cause: times, loads, sizes and the status in calls and answers among nodes were decoded as any number.

Now they are bounded where they are decoded, and such a message ends its connection as an unreadable one does.

Evidence: each of the 9 values of test_a_message_with_a_number_out_of_range_is_refused was decoded before.

--- a/rattanworks/adapters/peer_clock.py
+++ b/rattanworks/adapters/peer_clock.py
@@ -5,11 +5,19 @@
 pause.
 """
 
+from typing import Annotated
+
+from msgspec import Meta
+
 from rattanworks.utils.codec import decode_binary, encode_binary
 
 CLOCK_REQUEST = b"clock"
 # Bound on the drift between the clocks of two hosts, in seconds per second.
 MAX_DRIFT = 0.0005
+MAX_CLOCK_SECONDS = 1e12
+
+# A time of a monotonic clock in seconds; the bounds exclude NaN as well.
+ClockTime = Annotated[float, Meta(ge=-MAX_CLOCK_SECONDS, le=MAX_CLOCK_SECONDS)]
 
 
 def encode_clock(clock):
@@ -19,7 +27,7 @@
 
 def decode_clock(frame):
     """Return the owner's monotonic time in a frame; raise DecodeError."""
-    return decode_binary(frame, float)
+    return decode_binary(frame, ClockTime)
 
 
 class ClockOffset:
--- a/rattanworks/adapters/peer_messages.py
+++ b/rattanworks/adapters/peer_messages.py
@@ -4,8 +4,12 @@
 values. A frame consists of a head, which is the message, and a body if it is short.
 """
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
+from rattanworks.adapters.peer_clock import ClockTime
 from rattanworks.model.call import Answer, Call, Headers, Outcome
 from rattanworks.model.route import RouteKind
 from rattanworks.utils.codec import decode_binary, encode_binary
@@ -16,6 +20,12 @@
 CROSS_DOMAIN_INLINE_BODY_BYTES = 512
 PIECE_BYTES = 256 * 1024
 PROCEED_STATUS = 100
+MAX_BODY_BYTES = 2**40
+
+Status = Annotated[int, Meta(ge=100, le=999)]
+BodySize = Annotated[int, Meta(ge=0, le=MAX_BODY_BYTES)]
+# Excludes NaN, with which no two loads or times can be compared.
+NotNegative = Annotated[float, Meta(ge=0)]
 
 
 class CallMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -39,14 +49,14 @@
     method: str
     target: str
     headers: Headers
-    deadline: float
+    deadline: ClockTime
     idempotency_key: str
     host: str = ""
     caller_service: str = ""
-    objective: float = 0.0
+    objective: ClockTime = 0.0
     is_repeat: bool = False
     kind: RouteKind = RouteKind.BY_METHOD
-    body_size: int = 0
+    body_size: BodySize = 0
 
 
 class AnswerMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -56,15 +66,15 @@
     """
 
     request_id: str
-    status: int
-    owner_time: float
+    status: Status
+    owner_time: ClockTime
     headers: Headers = ()
     outcome: Outcome = Outcome.DONE
-    load: float = 0.0
-    retry_after: float = 0.0
+    load: NotNegative = 0.0
+    retry_after: NotNegative = 0.0
     reason: str = ""
     is_offered: bool = False
-    body_size: int = 0
+    body_size: BodySize = 0
 
 
 def encode_call(call, sender, record, to_owner_time, inline_bytes=INLINE_BODY_BYTES):
--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -1,12 +1,19 @@
+import math
 import threading
 import time
 import unittest
 import unittest.mock
 import weakref
 
-from rattanworks.adapters.peer_clock import ClockOffset
+from msgspec import structs
+
+from rattanworks.adapters.peer_clock import ClockOffset, decode_clock
 from rattanworks.adapters.peer_listener import PeerListener
-from rattanworks.adapters.peer_messages import encode_answer
+from rattanworks.adapters.peer_messages import (
+    AnswerMessage,
+    decode_answer,
+    encode_answer,
+)
 from rattanworks.exceptions import (
     AnswerBudgetExhaustedError,
     CallAbandonedError,
@@ -23,6 +30,7 @@
 from rattanworks.tests.builders import build_record
 from rattanworks.utils import frames
 from rattanworks.utils.answer_limits import AnswerBounds
+from rattanworks.utils.codec import DecodeError, encode_binary
 from rattanworks.utils.memory_budget import MemoryBudget
 from rattanworks.utils.sockets import FAST_LIVENESS, MAX_PORT
 
@@ -59,6 +67,25 @@
             with self.subTest(address), self.assertRaises(CallNotSentError):
                 self.dispatch()
 
+    def test_a_message_with_a_number_out_of_range_is_refused(self):
+        answer = AnswerMessage("r-1", 200, 5.0)
+        for changes in (
+            {"owner_time": math.nan},
+            {"owner_time": math.inf},
+            {"status": 10**9},
+            {"load": math.nan},
+            {"retry_after": -1.0},
+            {"body_size": -1},
+            {"body_size": 2**60},
+        ):
+            head = encode_binary(structs.replace(answer, **changes))
+            with self.subTest(changes), self.assertRaises(DecodeError):
+                decode_answer(head)
+        self.assertEqual(decode_answer(encode_binary(answer)), answer)
+        for time_of_owner in (math.nan, math.inf):
+            with self.assertRaises(DecodeError):
+                decode_clock(encode_binary(time_of_owner))
+
     def test_long_bodies_travel_in_pieces_both_ways(self):
         self.serve(lambda message, call: Answer(200, body=b"".join(call.body)))
         for body in (LARGE_BODY, memoryview(LARGE_BODY)):
