--- a/rattanworks/ledger/page_view.py
+++ b/rattanworks/ledger/page_view.py
@@ -215,8 +215,9 @@
     """Return whether the store has lost a claim, or its outcome."""
     if stored is None:
         return known.state != ClaimState.RELEASED
+    has_outcome = known.state != ClaimState.CLAIMED
     is_same = stored.operation_id == known.operation_id
-    return is_same and stored.state == ClaimState.CLAIMED != known.state
+    return is_same and stored.state == ClaimState.CLAIMED and has_outcome
 
 
 def _prefix_of(key):
