Keep a claim that the store lost on a key that it has as released

Callers would see a keyed call run twice: a claim was released and the key claimed again by a call that ran; the store then returned from a copy of in between. The node that had both claims kept the one that was in the copy.

Cause: a claim counted as lost only if the store has none on its key, or the same one without an outcome; a released one of another call hid it.

A claim in force that this node knows now prevails over a released one of another call. If the node's view is the older one, a key stays claimed that could be free, and its repeats don't run.

Evidence: the new test failed before ("2 != 1" runs of the key) and passes now.

--- a/rattanworks/ledger/page_view.py
+++ b/rattanworks/ledger/page_view.py
@@ -215,8 +215,11 @@
     """Return whether the store has lost a claim, or its outcome."""
     if stored is None:
         return known.state != ClaimState.RELEASED
-    has_outcome = known.state != ClaimState.CLAIMED
     is_same = stored.operation_id == known.operation_id
+    if stored.state == ClaimState.RELEASED:
+        # The key may have been claimed again since the copy.
+        return not is_same and known.state != ClaimState.RELEASED
+    has_outcome = known.state != ClaimState.CLAIMED
     return is_same and stored.state == ClaimState.CLAIMED and has_outcome
 
 
--- a/rattanworks/tests/ledger/restored_ledger_tests.py
+++ b/rattanworks/tests/ledger/restored_ledger_tests.py
@@ -6,7 +6,7 @@
 from rattanworks.ledger import page_view
 from rattanworks.ledger.claims import ClaimLedger
 from rattanworks.ledger.pages import PagedClaims
-from rattanworks.model.call import Answer
+from rattanworks.model.call import Answer, refusal
 from rattanworks.tests.builders import build_call
 from rattanworks.tests.fakes import FakeClock
 from rattanworks.tests.platform.restored import RestoredStoreTestCase
@@ -72,6 +72,22 @@
         self.order("b")
         self.assertEqual(self.order("a", self.build()).body, b"order a")
 
+    def test_a_claim_on_a_released_key_that_the_store_lost_is_kept(self):
+        self.seal_early()
+
+        def run():
+            # Seals the claim, so that its release stays in the page.
+            for number in range(12):
+                self.order(f"other-{number}")
+            return refusal(503, "the server is full")
+
+        self.order("a", run=run)
+        copy = self.platform.copy()
+        self.order("a")
+        self.platform.restore(copy)
+        self.assertEqual(self.order("a").body, b"order a")
+        self.assertEqual(self.runs.count("a"), 1)
+
     def test_claims_that_were_sealed_since_the_copy_are_kept(self):
         self.seal_early()
         keys = [str(number) for number in range(12)]
