Recognize an order that a node missed when it is written again after a restore

Callers would see a good move taken back in the middle, or a version that was taken back get calls again: a node that had watched the store earlier, read one order, lost its role and missed the next one, gets the role again when the store returns from an older copy. It took the missed order, written again, for a new one.

Cause: a node that had read any order of before the return was taken to have read all. Which orders it had missed is only known by the move: whether it was started by an order that the node has read.

A move of an earlier era whose order the node has not read is now treated as by a node that has read none.

--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -49,8 +49,9 @@
 class _ReceivedOrder:
     """An order; ``revisions`` are those at which it was written, the latest last.
 
-    ``may_be_repeated`` is set if this node has read no order of the service before the
-    store returned from a copy: it can't know whether this one was carried out then.
+    ``may_be_repeated`` is set if the order is one of the first that this node has read
+    since the store returned from a copy: another node may have carried it out before.
+    ``known_revisions`` are those of the orders that this node had read by then.
     """
 
     order: MoveOrder
@@ -58,6 +59,7 @@
     seen_at: float
     due: float
     may_be_repeated: bool
+    known_revisions: frozenset[int]
     done_at: float | None = None
 
     @property
@@ -85,6 +87,7 @@
             self.may_be_repeated
             and revision is not None
             and era_of(revision) < era_of(self.revision)
+            and revision not in self.known_revisions
         )
 
 
@@ -101,24 +104,37 @@
 
 @dataclass(slots=True)
 class _ServiceOrders:
-    """The latest orders of a service that this node has read, the newest last."""
+    """The latest orders of a service that this node has read, the newest last.
+
+    ``era_seen_at`` is when it read the first one of the era ``era`` of the store, in
+    seconds of the monotonic clock.
+    """
 
     received: deque = field(default_factory=lambda: deque(maxlen=MAX_KNOWN_ORDERS))
+    era: int | None = None
+    era_seen_at: float = 0.0
 
     @property
     def newest(self):
         return self.received[-1] if self.received else None
 
-    def may_follow_others(self, revision, now):
-        """Return whether this node may have missed earlier orders of the service.
+    @property
+    def known_revisions(self):
+        return frozenset(
+            revision for received in self.received for revision in received.revisions
+        )
 
-        It has read none of an earlier era, and those of this era for a moment only.
+    def update_era(self, revision, now):
+        """Note the time if an order is the first one of its era."""
+        if era_of(revision) != self.era:
+            self.era, self.era_seen_at = era_of(revision), now
+
+    def may_follow_others(self, now):
+        """Return whether this node may have missed orders of an earlier era.
+
+        It has read those of this era for a moment only.
         """
-        if not self.received:
-            return True
-        first = self.received[0]
-        is_same_era = era_of(first.revision) == era_of(revision)
-        return is_same_era and now < first.seen_at + REWRITE_SECONDS
+        return now < self.era_seen_at + REWRITE_SECONDS
 
     def find_repeated(self, order, revision):
         """Return the same order of an earlier era of the store, or None."""
@@ -195,6 +211,7 @@
             newest = orders.newest
             if newest is not None and newest.revision >= entry.revision:
                 return
+            orders.update_era(entry.revision, now)
             repeated = orders.find_repeated(order, entry.revision)
             if repeated is not None:
                 is_newest = orders.repeat(
@@ -202,9 +219,15 @@
                 )
             else:
                 due = now + self._random.uniform(0, MAX_JITTER_SECONDS)
-                may_be_repeated = orders.may_follow_others(entry.revision, now)
                 orders.received.append(
-                    _ReceivedOrder(order, [entry.revision], now, due, may_be_repeated)
+                    _ReceivedOrder(
+                        order,
+                        [entry.revision],
+                        now,
+                        due,
+                        orders.may_follow_others(now),
+                        orders.known_revisions,
+                    )
                 )
         if repeated is not None:
             log_event(
--- a/rattanworks/tests/moves/restored_orders_tests.py
+++ b/rattanworks/tests/moves/restored_orders_tests.py
@@ -110,6 +110,24 @@
             (move.operation_id, move.status), (operation_id, MoveStatus.RUNNING)
         )
 
+    def test_a_node_that_missed_an_order_does_not_start_its_move_again(self):
+        self.write_order("v3")
+        late = self.build()
+        self.receive(late)
+        self.start_move("v2")
+        started = self.state()
+        ends = (started, taken_back(started, "bad", self.clock.now()))
+        for state in ends:
+            if state is not started:
+                self.end(state)
+            self.return_to(self.empty)
+            self.write_others(20)
+            self.write_order("v2")
+            self.receive(late)
+            self.step(1.0, late)
+            self.step(REWRITE_SECONDS, late)
+            self.assertEqual(self.state(), state)
+
     def test_a_move_taken_back_is_not_started_by_its_order_written_again(self):
         self.start_move()
         self.end(taken_back(self.state(), "bad", self.clock.now()))
