Release the roles of ended moves that the store's listeners kept

The memory of a node would grow with each move: a node that may hold a move's role makes one for it, and the role adds a listener to the store, which kept it, with its thread object, for good.

Cause: a restore listener could be added, but not removed.

A role that is stopped now removes its listener.

Evidence: the new test failed before (the role was still referenced after stop and a garbage collection) and passes now.

--- a/rattanworks/platform/era.py
+++ b/rattanworks/platform/era.py
@@ -17,7 +17,7 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._listeners = []
+        self._listeners = ()
         self._era = None
 
     @property
@@ -27,7 +27,15 @@
 
     def add_listener(self, listener):
         """Call ``listener`` after each rise of the era, but not for the first era."""
-        self._listeners.append(listener)
+        with self._lock:
+            self._listeners = (*self._listeners, listener)
+
+    def remove_listener(self, listener):
+        """Call ``listener`` no more."""
+        with self._lock:
+            self._listeners = tuple(
+                known for known in self._listeners if known != listener
+            )
 
     def era_of(self, answer):
         """Return the era of an answer."""
--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -114,6 +114,10 @@
         """Call ``listener`` when an answer shows a later era than the ones before."""
         self._eras.add_listener(listener)
 
+    def remove_restore_listener(self, listener):
+        """Call ``listener`` no more."""
+        self._eras.remove_listener(listener)
+
     def get(self, key):
         """Return the StoreEntry at ``key`` or None."""
         if key.startswith(BLOBS_PREFIX):
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -93,6 +93,10 @@
         """
         return
 
+    def remove_restore_listener(self, listener):
+        """Call ``listener`` no more."""
+        return
+
     @abc.abstractmethod
     def get(self, key):
         """Return the StoreEntry at ``key`` or None."""
--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -124,6 +124,7 @@
         """Release the role and stop competing for it."""
         self._stopped.set()
         self._wake.set()
+        self._store.remove_restore_listener(self._handle_restore)
         with self._lock:
             lease_id, self._lease_id = self._lease_id, ""
             if lease_id:
--- a/rattanworks/tests/platform/restored_store_tests.py
+++ b/rattanworks/tests/platform/restored_store_tests.py
@@ -1,8 +1,10 @@
 """The store returns from an older copy and gives out the same revisions again."""
 
 import contextlib
+import gc
 import threading
 import unittest
+import weakref
 
 from rattanworks.adapters.system_clock import SystemClock
 from rattanworks.bench.fleet import wait_until
@@ -200,6 +202,15 @@
         other.revoke_lease(left)
         self.assertIsNotNone(self.store.get("roles/one"))
 
+    def test_the_store_does_not_keep_roles_that_were_stopped(self):
+        role = self.role(self.store, "one")
+        role.step()
+        role.stop()
+        stopped = weakref.ref(role)
+        del role
+        gc.collect()
+        self.assertIsNone(stopped())
+
     def test_a_lease_number_given_out_again_does_not_renew_anothers_lease(self):
         lost = self.store.grant_lease(30.0)
         self.platform.restore(self.copy)
