Record the end of a move that the store lost before all nodes knew it

Operators would see running for good for a move that has ended, and the next order of the service wait for good: a move ended, the store returned from an older copy, and a watcher that had not learned of the end wrote the running move again. Nodes kept the end in memory only; nothing wrote it until a watcher listed all records again.

Cause: the nodes that record ends took a store with an earlier move, or none, for one that needs no end, and never looked in the store after a move that was done.

They now write the end, of both kinds, over what the store has, unless that is a later move. This costs one read of the store for each candidate and move that was done.

Evidence: the new tests failed before (all cases but that of a running move that was taken back; the participant's for a move that was done) and pass now.

--- a/rattanworks/moves/driver.py
+++ b/rattanworks/moves/driver.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from rattanworks.exceptions import StoreConflictError
-from rattanworks.model.service import done, taken_back
+from rattanworks.model.service import MoveStatus, done, taken_back
 from rattanworks.moves.collector import EvidenceCollector
 from rattanworks.moves.decision import Action, MoveEvaluator, ServerCounts
 from rattanworks.ports.base import ABSENT
@@ -194,22 +194,39 @@
 
 
 def record_end(state, services, records, trail):
-    """Write the end of a move that was taken back to the store and the trail.
+    """Write the end of a move to the store and the trail.
 
-    Return False if the record changed meanwhile and the caller must try again. Raise
-    StoreError while the store does not answer.
+    Most ends as done are in the store already, unless it returned from an older copy,
+    which may have an earlier move or none. Return False if the record changed
+    meanwhile and the caller must try again. Raise StoreError while the store does not
+    answer.
     """
     recorded = records.read(state.service)
-    if recorded is None or recorded.state.generation != state.generation:
+    if recorded is not None and recorded.state.generation > state.generation:
         return True
-    if recorded.state.is_moving:
+    if recorded is None or not _has_end(recorded.state, state):
         try:
             recorded = records.write(
-                taken_back(recorded.state, state.move.reason, state.move.ended_at),
-                recorded.revision,
+                _ended_state(recorded, state), recorded.revision if recorded else ABSENT
             )
         except StoreConflictError:
             return False
     services.merge((recorded.state,))
     trail.record(recorded.state)
     return True
+
+
+def _has_end(recorded_state, state):
+    if recorded_state.generation != state.generation:
+        return False
+    return recorded_state.move.status >= state.move.status
+
+
+def _ended_state(recorded, state):
+    move = state.move
+    is_same_move = (
+        recorded is not None and recorded.state.generation == state.generation
+    )
+    if move.status == MoveStatus.DONE or not is_same_move:
+        return state
+    return taken_back(recorded.state, move.reason, move.ended_at)
--- a/rattanworks/moves/participant.py
+++ b/rattanworks/moves/participant.py
@@ -6,7 +6,6 @@
 from rattanworks.distribution.keys import move_role_key
 from rattanworks.exceptions import PeerUnavailableError, StoreError
 from rattanworks.model.control import EvidenceReply
-from rattanworks.model.service import MoveStatus
 from rattanworks.moves.candidates import candidates, evidence_target
 from rattanworks.moves.driver import MoveDriver, record_end
 from rattanworks.moves.record import MoveTrail, ServiceRecords
@@ -180,10 +179,5 @@
         recorded = self._recorded_generation_by_service.get(state.service, 0)
         if not is_candidate or recorded >= state.generation:
             return
-        if state.move.status == MoveStatus.DONE:
-            self._trail.record(state)
-            is_recorded = True
-        else:
-            is_recorded = record_end(state, self._services, self._records, self._trail)
-        if is_recorded:
+        if record_end(state, self._services, self._records, self._trail):
             self._recorded_generation_by_service[state.service] = state.generation
--- a/rattanworks/tests/moves/driver_tests.py
+++ b/rattanworks/tests/moves/driver_tests.py
@@ -5,7 +5,7 @@
 
 from rattanworks.distribution.keys import service_key
 from rattanworks.exceptions import StoreUnavailableError
-from rattanworks.model.service import MoveStatus, done, taken_back
+from rattanworks.model.service import MoveStatus, ServiceState, done, taken_back
 from rattanworks.moves.driver import record_end
 from rattanworks.moves.record import MoveTrail
 from rattanworks.moves.schedule import EARLIEST_STARTS
@@ -207,6 +207,27 @@
                 move = world.recorded.move
                 self.assertEqual((move.stage, move.share, move.term), (1, 0.5, 5))
 
+    def test_an_end_that_the_store_lost_is_recorded(self):
+        lost = running_state()
+        earlier = ServiceState("catalogue", 1, "v1")
+        for stored in (None, earlier, lost):
+            for ended in (done(lost, "", START), taken_back(lost, "bad", START)):
+                with self.subTest(stored=stored, status=ended.move.status):
+                    world = World(lost)
+                    driver_node = world.driver_node()
+                    driver_node.services.merge((ended,))
+                    recorded = world.records.read("catalogue")
+                    if stored is None:
+                        world.store.delete(service_key("catalogue"), recorded.revision)
+                    else:
+                        world.records.write(stored, recorded.revision)
+                    trail = MoveTrail(world.store)
+                    self.assertTrue(
+                        record_end(ended, driver_node.services, world.records, trail)
+                    )
+                    self.assertEqual(world.recorded, ended)
+                    self.assertEqual(trail.moves()[0].move, ended.move)
+
 
 class RaceTests(unittest.TestCase):
     def test_done_in_the_store_prevails_over_a_later_taken_back(self):
--- a/rattanworks/tests/moves/participant_tests.py
+++ b/rattanworks/tests/moves/participant_tests.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from rattanworks.bench.fleet import wait_until
-from rattanworks.model.service import MoveStatus, taken_back
+from rattanworks.model.service import MoveStatus, done, taken_back
 from rattanworks.moves.candidates import MAX_CANDIDATES, candidates, evidence_target
 from rattanworks.moves.participant import MoveParticipant
 from rattanworks.tests.builders import build_record
@@ -58,6 +58,13 @@
         self.participant.step()
         self.assertEqual(self.world.records.read("catalogue").revision, revision)
 
+    def test_a_move_that_was_done_is_recorded_if_the_store_lost_its_end(self):
+        name = candidates(running_state(), self.world.members.by_node.values())[0]
+        self.world.members.own = self.world.members.by_node[name]
+        self.services.merge((done(self.world.recorded, "", START),))
+        self.participant.step()
+        self.assertEqual(self.world.recorded.move.status, MoveStatus.DONE)
+
     def test_looks_and_reports_go_on_after_an_unexpected_error(self):
         calls = {"step": 0, "report": 0}
 
