--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -53,7 +53,10 @@
         return reply.head, self._decompress(reply)
 
     def fetch(self, hashes, is_wanted=return_true):
-        """Return the requested blobs that the peer has, by hash."""
+        """Return the requested blobs that the peer has, by hash.
+
+        There is no wait in which ``is_wanted`` would be asked, as in StoreSource.
+        """
         return self._decompress(self._request(FetchRequest(tuple(hashes))))
 
     def _request(self, message):
