Keep the blobs of a failed fetch without a second dict and an except clause

The dict that a fetch from the store fills is itself what the next one continues from; it is dropped when the fetch is complete. No behaviour is meant to change, but that an unexpected error keeps the blobs as well.

--- a/rattanworks/distribution/replicator.py
+++ b/rattanworks/distribution/replicator.py
@@ -265,8 +265,8 @@
             if reference.hash not in held and reference.hash not in fetched
         ]
         if missing:
-            still_wanted = functools.partial(self._configuration.is_update, head)
-            fetched = {**fetched, **_fetch_all(source, missing, still_wanted)}
+            is_wanted = functools.partial(self._configuration.is_update, head)
+            fetched = {**fetched, **_fetch_all(source, missing, is_wanted)}
         return head, {**held, **fetched}
 
 
--- a/rattanworks/distribution/sources.py
+++ b/rattanworks/distribution/sources.py
@@ -6,11 +6,7 @@
 from rattanworks.distribution.archive import decode_head
 from rattanworks.distribution.content import MAX_BLOB_BYTES
 from rattanworks.distribution.keys import HEAD, blob_key
-from rattanworks.exceptions import (
-    BlobUnusableError,
-    StoreError,
-    StoreUnavailableError,
-)
+from rattanworks.exceptions import BlobUnusableError, StoreUnavailableError
 from rattanworks.model.call import return_true
 from rattanworks.model.control import FetchRequest
 from rattanworks.model.version import NO_HEAD, Head
@@ -97,10 +93,10 @@
         A store may keep only the newest version. Raise StoreUnavailableError as
         ``fetch`` does.
         """
-        entry = self._blob(head.manifest_hash, return_true)
+        entry = self._blob(head.manifest_hash)
         if entry is not None:
             return head, {head.manifest_hash: entry.value}
-        entry = self._get(HEAD, return_true)
+        entry = self._get(HEAD)
         return (NO_HEAD if entry is None else decode_head(entry.value)), {}
 
     def fetch(self, hashes, is_wanted=return_true):
@@ -109,26 +105,23 @@
         Raise StoreUnavailableError when the store does not answer, or the fetch waits
         for the budget and the node stops or ``is_wanted()`` becomes false.
         """
-        unused, contents = self._unused_by_hash, {}
-        self._unused_by_hash = {}
-        try:
-            for hash in hashes:
-                if hash in unused:
-                    contents[hash] = unused[hash]
-                elif (entry := self._blob(hash, is_wanted)) is not None:
+        unused = self._unused_by_hash
+        contents = {hash: unused[hash] for hash in hashes if hash in unused}
+        self._unused_by_hash = contents
+        for hash in hashes:
+            if hash not in contents:
+                entry = self._blob(hash, is_wanted)
+                if entry is not None:
                     contents[hash] = entry.value
-        except StoreError:
-            wanted = {hash: unused[hash] for hash in hashes if hash in unused}
-            self._unused_by_hash = {**wanted, **contents}
-            raise
+        self._unused_by_hash = {}
         return contents
 
-    def _blob(self, hash, is_wanted):
+    def _blob(self, hash, is_wanted=return_true):
         key = blob_key(hash)
         # A blob that the client holds costs no call, and so nothing of the budget.
         return self._store.get_kept(key) or self._get(key, is_wanted)
 
-    def _get(self, key, is_wanted):
+    def _get(self, key, is_wanted=return_true):
         while not self._budget.take():
             is_stopped = self._pause(self._budget.seconds_until_token())
             if is_stopped or not is_wanted():
