Decode a listed state by the function that reads it everywhere else

The restorer of states had a decoding of its own. With decode_state, a state that lies at another service's key counts as one that cannot be read here too, and is not replaced; before, its generation was compared with that of another service.

--- a/rattanworks/moves/restoration.py
+++ b/rattanworks/moves/restoration.py
@@ -5,10 +5,9 @@
 """
 
 from rattanworks.distribution.keys import service_key
-from rattanworks.exceptions import StoreConflictError
-from rattanworks.model.service import ServiceState
+from rattanworks.distribution.service_states import decode_state
+from rattanworks.exceptions import StoreConflictError, StoreRecordError
 from rattanworks.ports.base import ABSENT
-from rattanworks.utils.codec import DecodeError, decode_json
 from rattanworks.utils.logging import log_event
 
 
@@ -49,7 +48,7 @@
     if entry is None:
         return True
     try:
-        return decode_json(entry.value, ServiceState).precedence < state.precedence
-    except DecodeError:
+        return decode_state(entry).precedence < state.precedence
+    except StoreRecordError:
         # The watcher logs records that it cannot read; they are not replaced.
         return False
