--- a/rattanworks/platform/store.py
+++ b/rattanworks/platform/store.py
@@ -177,9 +177,7 @@
 
     def write_all(self, writes):
         """Make all the writes in one transaction or none."""
-        for write in writes:
-            if not _may_expect(write, self.era):
-                raise StoreRestoredError(write.key, write.expected_revision)
+        _require_expected_in(writes, self.era)
         answer = self._write_json("/rattanworks/kv-txn", self._transaction(writes))
         if answer.status == CONFLICT_STATUS:
             raise self._conflict_error(writes, answer)
@@ -194,9 +192,8 @@
     def _require_written_in(self, writes, era):
         # The store returned from its copy while the request was on its way.
         try:
+            _require_expected_in(writes, era)
             for write in writes:
-                if not _may_expect(write, era):
-                    raise StoreRestoredError(write.key, write.expected_revision)
                 if write.lease_id:
                     self._require_lease_of(write.lease_id, era)
         except (LeaseLostError, StoreRestoredError) as error:
@@ -363,10 +360,12 @@
             raise CallOutcomeUnknownError(f"the store answered {answer.status}")
 
 
-def _may_expect(write, era):
-    # In a later era the revision may have been given out again, to another record.
-    expected = write.expected_revision
-    return expected == ABSENT or era_of(expected) == era
+def _require_expected_in(writes, era):
+    # In a later era a revision may have been given out again, to another record.
+    for write in writes:
+        expected = write.expected_revision
+        if expected != ABSENT and era_of(expected) != era:
+            raise StoreRestoredError(write.key, expected)
 
 
 def _readable_items(contents):
