--- a/rattanworks/moves/driver.py
+++ b/rattanworks/moves/driver.py
@@ -6,7 +6,7 @@
 from rattanworks.model.service import MoveStatus, done, taken_back
 from rattanworks.moves.collector import EvidenceCollector
 from rattanworks.moves.decision import Action, MoveEvaluator, ServerCounts
-from rattanworks.ports.base import ABSENT
+from rattanworks.ports.base import revision_of
 from rattanworks.utils.logging import log_event
 
 # A longer gap between two looks means that the process was paused and its evidence is
@@ -68,7 +68,7 @@
         move = replace(
             state.move, holder=self._own_node, term=state.move.term + 1, step=0
         )
-        revision = recorded.revision if recorded else ABSENT
+        revision = revision_of(recorded)
         try:
             self._write(replace(state, move=move), revision)
         except StoreConflictError:
@@ -207,7 +207,7 @@
     if recorded is None or not _has_end(recorded.state, state):
         try:
             recorded = records.write(
-                _ended_state(recorded, state), recorded.revision if recorded else ABSENT
+                _ended_state(recorded, state), revision_of(recorded)
             )
         except StoreConflictError:
             return False
--- a/rattanworks/moves/orders.py
+++ b/rattanworks/moves/orders.py
@@ -21,7 +21,7 @@
 from rattanworks.model.service import MoveStatus
 from rattanworks.moves.record import ServiceRecords
 from rattanworks.moves.requests import MoveRequests
-from rattanworks.ports.base import ABSENT, Write, era_of, number_of
+from rattanworks.ports.base import Write, era_of, number_of, revision_of
 from rattanworks.utils.codec import DecodeError, decode_json, encode_json
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
@@ -405,7 +405,7 @@
         return Write(
             order_status_key(wanted.service),
             encode_json(wanted),
-            known.revision if known else ABSENT,
+            revision_of(known),
         )
 
     def _known_status(self, service):
--- a/rattanworks/moves/record.py
+++ b/rattanworks/moves/record.py
@@ -10,7 +10,7 @@
     StoreError,
 )
 from rattanworks.model.service import Move, ServiceState
-from rattanworks.ports.base import ABSENT, Write
+from rattanworks.ports.base import Write, revision_of
 from rattanworks.utils.codec import DecodeError, decode_json, encode_json
 from rattanworks.utils.logging import log_event
 
@@ -71,7 +71,7 @@
             recorded = self.read(state.service)
             if recorded is not None and recorded.state == state:
                 return recorded
-            actual = recorded.revision if recorded else ABSENT
+            actual = revision_of(recorded)
             raise StoreConflictError(key, revision, actual) from None
 
 
@@ -101,7 +101,7 @@
 
     def _put(self, key, value):
         entry = self._store.get(key)
-        self._store.put(key, value, entry.revision if entry else ABSENT)
+        self._store.put(key, value, revision_of(entry))
 
     def _trim(self, service):
         entries = self._store.list(moves_prefix(service)).entries
--- a/rattanworks/moves/restoration.py
+++ b/rattanworks/moves/restoration.py
@@ -7,7 +7,7 @@
 from rattanworks.distribution.keys import service_key
 from rattanworks.distribution.service_states import decode_state
 from rattanworks.exceptions import StoreConflictError, StoreRecordError
-from rattanworks.ports.base import ABSENT
+from rattanworks.ports.base import revision_of
 from rattanworks.utils.logging import log_event
 
 
@@ -28,7 +28,7 @@
         for state in self._services.rows_by_name.values():
             entry = entries_by_key.get(service_key(state.service))
             if _is_older(entry, state):
-                self._write(state, entry.revision if entry else ABSENT)
+                self._write(state, revision_of(entry))
 
     def _write(self, state, revision):
         try:
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -28,6 +28,11 @@
     return revision & ((1 << REVISION_BITS) - 1)
 
 
+def revision_of(record):
+    """Return the revision of a record that was read, ABSENT for None."""
+    return ABSENT if record is None else record.revision
+
+
 @dataclass(frozen=True, slots=True)
 class StoreEntry:
     """A record in the store; ``value`` is None once it was deleted."""
--- a/rattanworks/roles/base.py
+++ b/rattanworks/roles/base.py
@@ -12,7 +12,7 @@
     StoreError,
 )
 from rattanworks.model.call import return_true
-from rattanworks.ports.base import ABSENT, era_of
+from rattanworks.ports.base import era_of, revision_of
 from rattanworks.utils.backoff import FullJitterBackoff
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
@@ -227,7 +227,7 @@
             return
         # A record of this node itself is left from an earlier lease, as when the store
         # returned from an older copy: that lease need not end first.
-        expected_revision = known.revision if known else ABSENT
+        expected_revision = revision_of(known)
         started = self._clock.monotonic()
         lease_seconds = self._timing.lease_seconds_at(answer_seconds)
         lease_id = self._store.grant_lease(lease_seconds)
--- a/rattanworks/standins/store.py
+++ b/rattanworks/standins/store.py
@@ -8,7 +8,7 @@
 import uuid
 from dataclasses import dataclass, field, replace
 
-from rattanworks.ports.base import ABSENT, StoreEntry, WatchEvent
+from rattanworks.ports.base import StoreEntry, WatchEvent, revision_of
 
 MAX_VALUE_BYTES = 1024 * 1024
 
@@ -204,7 +204,7 @@
 
     def _require_revision(self, key, expected):
         entry = self._get_live(key)
-        actual = entry.revision if entry else ABSENT
+        actual = revision_of(entry)
         if actual != expected:
             raise RevisionConflictError(actual)
 
