Give the orders that a node has read a module of their own

Which orders are known, and which are the same ones written again, is told from how they are carried out.

--- a/rattanworks/tests/moves/restored_orders_tests.py
+++ b/rattanworks/tests/moves/restored_orders_tests.py
@@ -6,7 +6,8 @@
 
 from rattanworks.distribution.keys import order_key, order_status_key
 from rattanworks.model.service import MoveStatus, ServiceState, done, taken_back
-from rattanworks.moves.orders import DRAIN_SECONDS, REWRITE_SECONDS, MoveOrders
+from rattanworks.moves.orders import DRAIN_SECONDS, MoveOrders
+from rattanworks.moves.received_orders import REWRITE_SECONDS
 from rattanworks.moves.record import ServiceRecords
 from rattanworks.ports.base import ABSENT
 from rattanworks.tests.builders import build_record
