--- a/rattanworks/tests/builders.py
+++ b/rattanworks/tests/builders.py
@@ -50,6 +50,27 @@
     return EndpointRecord(**{**fields, **changes})
 
 
+def build_move_fields(**changes):
+    """Return the fields of a move as in a stored record, for odd values as well."""
+    fields = {
+        "operation_id": "x",
+        "from_version": "v1",
+        "to_version": "v2",
+        "author": "ana",
+        "started_at": 1.0,
+        "finish_by": 2.0,
+        "status": 0,
+        "stage": 0,
+        "share": 0.5,
+        "holder": "",
+        "term": 0,
+        "step": 0,
+        "reason": "",
+        "ended_at": 0.0,
+    }
+    return {**fields, **changes}
+
+
 def build_lists(customers=CUSTOMERS, plans=PLANS):
     """Return lists that have been read and validated."""
     return parse_lists(customers, plans)
--- a/rattanworks/tests/distribution/watcher_tests.py
+++ b/rattanworks/tests/distribution/watcher_tests.py
@@ -10,7 +10,7 @@
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles.base import DEFAULT_TIMING, LeasedRole
 from rattanworks.standins.store import MemoryStore
-from rattanworks.tests.builders import build_lists
+from rattanworks.tests.builders import build_lists, build_move_fields
 from rattanworks.tests.fakes import FakeClock, FakeStore
 from rattanworks.utils.codec import decode_binary, encode_binary, encode_json
 from rattanworks.utils.precedence_table import PrecedenceTable
@@ -104,25 +104,17 @@
     def test_a_state_that_peers_cannot_be_sent_is_skipped(self):
         services = PrecedenceTable(lambda state: state.service)
         self.watcher = Watcher(self.role, self.store, services)
-        move = {
-            "operation_id": "x",
-            "from_version": "v1",
-            "to_version": "v2",
-            "author": "ana",
-            "started_at": 1.0,
-            "finish_by": 2.0,
-        }
         state = {"service": "odd", "generation": 1, "serving_version": "v1"}
         odd_states = (
             {**state, "generation": 10**40},
             {**state, "generation": 2**62},
             {**state, "generation": -1},
             {**state, "serving_version": "v" * 1000},
-            {**state, "move": {**move, "term": 10**40}},
-            {**state, "move": {**move, "step": 2**64}},
-            {**state, "move": {**move, "share": 1e300}},
-            {**state, "move": {**move, "finish_by": 1e300}},
-            {**state, "move": {**move, "started_at": -1e300}},
+            {**state, "move": build_move_fields(term=10**40)},
+            {**state, "move": build_move_fields(step=2**64)},
+            {**state, "move": build_move_fields(share=1e300)},
+            {**state, "move": build_move_fields(finish_by=1e300)},
+            {**state, "move": build_move_fields(started_at=-1e300)},
         )
         for number, odd in enumerate(odd_states):
             key = f"shared/services/a{number}"
--- a/rattanworks/tests/moves/restored_orders_tests.py
+++ b/rattanworks/tests/moves/restored_orders_tests.py
@@ -40,8 +40,7 @@
         return MoveOrders(self.store, self.services, members, self.clock, rng)
 
     def write_order(self, version="v2"):
-        order = {"service": SERVICE, "targetVersion": version, "within": "20s"}
-        self.platform.write_as_operator(f"op/rollout/{SERVICE}", order)
+        self.order_move(SERVICE, version)
 
     def receive(self, orders=None):
         orders = orders or self.orders
@@ -75,7 +74,7 @@
         self.services.merge((state,))
 
     def status(self):
-        value = self.platform.value_of(f"status/rollout/{SERVICE}")
+        value = self.move_status(SERVICE)
         return value and value["state"]
 
     def test_an_order_written_again_does_not_end_its_move(self):
--- a/rattanworks/tests/platform/instances_tests.py
+++ b/rattanworks/tests/platform/instances_tests.py
@@ -1,4 +1,3 @@
-import io
 import json
 import unittest
 
@@ -9,6 +8,7 @@
 from rattanworks.platform.instances import InstancesApp
 from rattanworks.tests.fakes import FakeClock
 from rattanworks.tests.platform.builders import build_heartbeat
+from rattanworks.tests.platform.reports import send_report
 
 HEARTBEAT_SECONDS = 1.5
 
@@ -30,15 +30,7 @@
         )
 
     def send(self, method, instance, content=b""):
-        statuses = []
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": f"/rattanworks/instances/{instance}",
-            "CONTENT_LENGTH": str(len(content)),
-            "wsgi.input": io.BytesIO(content),
-        }
-        self.app(environ, lambda status, headers: statuses.append(int(status[:3])))
-        return statuses[0]
+        return send_report(self.app, method, instance, content)
 
     def send_heartbeat(self, instance="i-1", **changes):
         content = json.dumps(build_heartbeat(**changes)).encode()
--- a/rattanworks/tests/platform/odd_entries_tests.py
+++ b/rattanworks/tests/platform/odd_entries_tests.py
@@ -1,7 +1,6 @@
 """Odd reports and records of another writer beside those of the real ones."""
 
 import copy
-import io
 import json
 import types
 import unittest
@@ -30,9 +29,10 @@
 from rattanworks.platform.records import RecordTranslator
 from rattanworks.ports.base import ABSENT
 from rattanworks.roles.base import LeasedRole
-from rattanworks.tests.builders import build_record
+from rattanworks.tests.builders import build_move_fields, build_record
 from rattanworks.tests.fakes import FakeBackendServer, FakeClock, FakeStore
 from rattanworks.tests.platform.builders import CONFIGURATION, build_heartbeat
+from rattanworks.tests.platform.reports import send_report
 from rattanworks.utils.codec import decode_binary, encode_binary, encode_json
 from rattanworks.utils.precedence_table import PrecedenceTable
 
@@ -135,15 +135,7 @@
             self.owner.attach(FakeBackendServer(), announcement)
 
     def send(self, method, instance, content=b""):
-        statuses = []
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": f"/rattanworks/instances/{instance}",
-            "CONTENT_LENGTH": str(len(content)),
-            "wsgi.input": io.BytesIO(content),
-        }
-        self.app(environ, lambda status, headers: statuses.append(int(status[:3])))
-        return statuses[0]
+        return send_report(self.app, method, instance, content)
 
     def send_heartbeat(self):
         for _ in range(3):
@@ -182,27 +174,11 @@
         self.assertEqual(decode_binary(encode_binary(message), Gossip), message)
 
 
-MOVE = {
-    "operation_id": "x",
-    "from_version": "v1",
-    "to_version": "v2",
-    "author": "ana",
-    "started_at": 1.0,
-    "finish_by": 2.0,
-    "status": 0,
-    "stage": 0,
-    "share": 0.5,
-    "holder": "",
-    "term": 0,
-    "step": 0,
-    "reason": "",
-    "ended_at": 0.0,
-}
 STATE = {
     "service": "odd",
     "generation": 3,
     "serving_version": "v1",
-    "move": MOVE,
+    "move": build_move_fields(),
     "taken_back_versions": ["v0"],
 }
 ORDER = {"service": "odd", "targetVersion": "v2", "within": "20s"}
