Do not report a call as not sent when its server ended under it

What callers saw: 503 with "not run" for calls that had run as their server crashed, and the same call sent to the next server without a retry of the budget.

Cause: a call that may be repeated is sent again on a new connection when a kept one closes under it. If the server has gone, that connection is refused, and the refusal, which says that no byte was sent, took the place of the first error, which says that it may have run. Now the first error stands. The store client and the frames between nodes were read for the same: neither repeats below its caller.

Evidence: the new test failed before with CallNotSentError. The tests' scripted server went on listening after close() while it waited in accept(); it no longer does.

--- a/rattanworks/tests/servers.py
+++ b/rattanworks/tests/servers.py
@@ -72,6 +72,9 @@
 
     def close(self):
         """Accept no more connections."""
+        # Closing alone leaves the socket listening while a thread waits in accept().
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
 
--- a/rattanworks/tests/utils/http_pool_tests.py
+++ b/rattanworks/tests/utils/http_pool_tests.py
@@ -93,6 +93,13 @@
         self.send()
         self.assertEqual(self.send(may_repeat=True).body, b"again")
 
+    def test_a_request_under_which_the_server_ended_is_not_reported_as_not_sent(self):
+        self.start([raw_answer(), None])
+        self.send()
+        self.server.close()
+        with self.assertRaises(CallOutcomeUnknownError):
+            self.send(may_repeat=True)
+
     def test_an_abandoned_exchange_ends_before_its_deadline(self):
         self.start([b""])
         with self.assertRaises(CallAbandonedError):
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -69,12 +69,20 @@
 
     def _send_on_any(self, method, target, headers, body, options):
         connection = self._take_idle() if options.may_reuse else None
-        if connection is not None:
+        if connection is None:
+            return self._send_on_new(method, target, headers, body, options)
+        try:
+            return self._send_on(connection, method, target, headers, body, options)
+        except ReusedConnectionClosedError as first_error:
+            if not options.may_repeat:
+                raise
             try:
-                return self._send_on(connection, method, target, headers, body, options)
-            except ReusedConnectionClosedError:
-                if not options.may_repeat:
-                    raise
+                return self._send_on_new(method, target, headers, body, options)
+            except CallNotSentError as error:
+                # The server may have run the first request and crashed.
+                raise first_error from error
+
+    def _send_on_new(self, method, target, headers, body, options):
         connection = self._connect(min(seconds_left(options.deadline), CONNECT_SECONDS))
         return self._send_on(connection, method, target, headers, body, options)
 
