Recognize a call that crashes backend servers, and refuse it on all nodes

Cause: retries are limited for each call and each service, and nothing knew a call again that came with another id at another node.

Now the node beside a backend server reports which calls were running when it crashed, by a fingerprint of their content. Reports spread with gossip and synchronization, and can only be cleared. From the second crash on a call is refused as not run, apart from trials whose delay grows with each crash; a call that its server answers is cleared everywhere.

--- a/rattanworks/adapters/http_backend.py
+++ b/rattanworks/adapters/http_backend.py
@@ -69,6 +69,10 @@
             outcome=Outcome.NOT_RUN if is_not_run else Outcome.DONE,
         )
 
+    def is_reachable(self):
+        """Return whether the server accepts a new connection."""
+        return self._pool.is_reachable()
+
     def cancel(self, request_id):
         """Notify the server that nobody waits for this call any longer."""
         try:
--- a/rattanworks/adapters/peer_messages.py
+++ b/rattanworks/adapters/peer_messages.py
@@ -11,6 +11,7 @@
 
 from rattanworks.adapters.peer_clock import ClockTime
 from rattanworks.model.call import Answer, Call, Headers, Outcome
+from rattanworks.model.endpoint import Name
 from rattanworks.model.route import RouteKind
 from rattanworks.utils.codec import decode_binary, encode_binary
 
@@ -57,6 +58,8 @@
     is_repeat: bool = False
     kind: RouteKind = RouteKind.BY_METHOD
     body_size: BodySize = 0
+    fingerprint: Name = ""
+    is_trial: bool = False
 
 
 class AnswerMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +78,7 @@
     reason: str = ""
     is_offered: bool = False
     body_size: BodySize = 0
+    crashed_server: Name = ""
 
 
 def encode_call(call, sender, record, to_owner_time, inline_bytes=INLINE_BODY_BYTES):
@@ -107,6 +111,8 @@
             caller_service=call.caller_service,
             kind=call.kind,
             body_size=0 if is_inline else len(call.body),
+            fingerprint=call.fingerprint,
+            is_trial=call.is_trial,
         )
     )
     return head, bytes(call.body) if is_inline else b""
@@ -139,6 +145,8 @@
         objective=message.objective,
         is_repeat=message.is_repeat,
         kind=message.kind,
+        fingerprint=message.fingerprint,
+        is_trial=message.is_trial,
     )
 
 
@@ -157,6 +165,7 @@
             reason=answer.reason,
             is_offered=answer.is_offered,
             body_size=0 if is_inline else len(answer.body),
+            crashed_server=answer.crashed_server,
         )
     )
     return head, answer.body if is_inline else b""
@@ -184,6 +193,7 @@
         retry_after=message.retry_after,
         reason=message.reason,
         is_offered=message.is_offered,
+        crashed_server=message.crashed_server,
     )
 
 
--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -11,12 +11,22 @@
 from rattanworks.admission.time_left import TimeLeft
 from rattanworks.admission.waiting import Rank
 from rattanworks.exceptions import (
+    AnswerBudgetExhaustedError,
+    AnswerTooLargeError,
+    CallAbandonedError,
     CallMisdirectedError,
     CallNotSentError,
     CallOutcomeUnknownError,
+    CallTimedOutError,
 )
 from rattanworks.model.call import Outcome, refusal, unknown_outcome
 from rattanworks.model.endpoint import EndpointState
+from rattanworks.quarantine.breaker import (
+    FIRST_DELAY_SECONDS,
+    QUARANTINED,
+    build_quarantine,
+)
+from rattanworks.utils.digest import hash_of
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.weighted_mean import WeightedMeans, updated_mean
 
@@ -24,6 +34,13 @@
 MIN_SHED_RETRY_AFTER_SECONDS = 0.05
 MAX_SHED_RETRY_AFTER_SECONDS = 3600.0
 RETRY_AFTER_HEADER = "retry-after"
+# After these the connection has not ended: the server may well be running.
+ENDED_BY_NODE = (
+    AnswerBudgetExhaustedError,
+    AnswerTooLargeError,
+    CallAbandonedError,
+    CallTimedOutError,
+)
 MAX_MISSED_HEARTBEATS = 3
 MIN_VERSION_SHARE = 0.01
 MAX_CONSECUTIVE_SEND_FAILURES = 3
@@ -38,7 +55,14 @@
     """Admits calls to the backend server beside this node."""
 
     def __init__(
-        self, members, tables, limits, clock, queue_length, queue_per_slot=math.inf
+        self,
+        members,
+        tables,
+        limits,
+        clock,
+        queue_length,
+        queue_per_slot=math.inf,
+        quarantine=None,
     ):
         self._members = members
         self._tables = tables
@@ -46,6 +70,8 @@
         self._clock = clock
         self._queue_length = queue_length
         self._queue_per_slot = queue_per_slot
+        self._quarantine = quarantine or build_quarantine(clock)
+        self._crashed_identity = None
         self._lock = threading.Lock()
         self._backend = None
         self._slot_queue = None
@@ -307,10 +333,14 @@
         left = time_left.seconds()
         if left <= 0:
             return refusal(504, "the deadline passed before the call was sent")
+        if not call.is_trial and self._quarantine.is_held(call.fingerprint):
+            # Its server has crashed while this call was waiting.
+            return refusal(503, QUARANTINED, FIRST_DELAY_SECONDS)
         self._repeat_share = updated_mean(
             self._repeat_share, call.is_repeat, REPEAT_WEIGHT
         )
         call = replace(call, deadline=self._clock.monotonic() + left)
+        announcement = self._announcement
         try:
             answer = backend.run(call)
         except CallMisdirectedError as error:
@@ -320,10 +350,31 @@
             self._handle_send_failure(backend)
             return refusal(503, str(error), LEAVING_RETRY_AFTER_SECONDS)
         except CallOutcomeUnknownError as error:
-            return unknown_outcome(error.status, str(error))
+            answer = unknown_outcome(error.status, str(error))
+            crashed = self._crashed_server(call, backend, announcement, error)
+            return replace(answer, crashed_server=crashed)
         self._consecutive_send_failures = 0
+        if answer.outcome == Outcome.DONE:
+            self._quarantine.record_answer(call)
         return _with_retry_after(replace(answer, is_offered=True))
 
+    def _crashed_server(self, call, backend, announcement, error):
+        """Return which run of the server crashed under the call, empty for none.
+
+        A connection also ends when a server stops as planned, or breaks off one answer
+        and runs on.
+        """
+        if isinstance(error, ENDED_BY_NODE) or not self._is_serving():
+            return ""
+        if announcement.identity == self._left_identity or backend.is_reachable():
+            return ""
+        server = _run_name(self._members.own.node, announcement)
+        if self._crashed_identity != announcement.identity:
+            self._crashed_identity = announcement.identity
+            log_event("backend-crashed", address=announcement.address, server=server)
+        self._quarantine.record_crash(call, server)
+        return server
+
     def _apply_notice(self, slot_queue, notice, request_id):
         with self._lock:
             # A run of the server keeps its limit, also with another queue.
@@ -369,6 +420,11 @@
             self._withdraw()
 
 
+def _run_name(node, announcement):
+    """Return a short name for one run of the server beside a node."""
+    return f"{hash_of(f'{node}|{announcement.identity}'):016x}"
+
+
 def _with_retry_after(answer):
     # A server that sheds load may send Retry-After; callers get the header once,
     # from the answer's ``retry_after``.
--- a/rattanworks/client.py
+++ b/rattanworks/client.py
@@ -20,6 +20,7 @@
 from rattanworks.membership.sync import Reconciler, Tables
 from rattanworks.model.call import Answer, Outcome
 from rattanworks.model.control import REPLIES_BY_REQUEST
+from rattanworks.quarantine.breaker import build_quarantine
 from rattanworks.routing.choice import EndpointChooser
 from rattanworks.routing.entry import CallerRequest, Entry
 from rattanworks.routing.table import RoutingTables
@@ -86,8 +87,9 @@
         self._replicator = Replicator(
             self._configuration, self._control_peers, _NoStore(), self._clock
         )
+        quarantine = build_quarantine(self._clock, members.own.node)
         self._reconciler = Reconciler(
-            Tables(members, services, self._configuration),
+            Tables(members, services, self._configuration, quarantine.reports),
             self._control_peers,
             self._clock,
         )
@@ -101,6 +103,7 @@
             self._calls,
             None,
             self._clock,
+            quarantine=quarantine,
         )
         self._node_pool = HttpPool(callers, NODE_CONNECTIONS)
         self._stopped = threading.Event()
--- a/rattanworks/membership/gossip.py
+++ b/rattanworks/membership/gossip.py
@@ -20,6 +20,7 @@
 )
 from rattanworks.model.endpoint import EndpointState
 from rattanworks.model.version import NO_HEAD
+from rattanworks.quarantine.reports import CrashReports
 from rattanworks.utils.digest import combined_digest
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.tasks import run_guarded
@@ -44,10 +45,13 @@
     this from time to time and synchronizes with those that are missing.
     """
 
-    def __init__(self, members, services, heads, peers, clock, settings, rng=None):
+    def __init__(
+        self, members, services, heads, peers, clock, settings, rng=None, crashes=None
+    ):
         self._members = members
         self._services = services
         self._heads = heads
+        self._crashes = crashes or CrashReports(clock)
         self._peers = peers
         self._settings = settings
         self._clock = clock
@@ -65,7 +69,7 @@
         self.detector = FailureDetector(members, peers, self.guard, clock, settings)
         self.detector.is_linked = lambda node: node in self.links_by_node
         self.reconciler = Reconciler(
-            Tables(members, services, heads), peers, clock, self._random
+            Tables(members, services, heads, self._crashes), peers, clock, self._random
         )
         self.links_by_node = {}
         self._reported_version_by_node = {}
@@ -74,6 +78,7 @@
         self._thread = threading.Thread(target=self._run, name="members", daemon=True)
         members.table.add_listener(self._add_records)
         services.add_listener(self._add_services)
+        self._crashes.add_listener(self._add_crashes)
 
     @property
     def on_head(self):
@@ -127,8 +132,12 @@
 
     @property
     def digest(self):
-        """Return one hash of both tables."""
-        return combined_digest(self._members.table.digest, self._services.digest)
+        """Return one hash of the tables."""
+        digests = [self._members.table.digest, self._services.digest]
+        if self._crashes.digest:
+            # Left out while there are none: earlier releases do not know of them.
+            digests.append(self._crashes.digest)
+        return combined_digest(*digests)
 
     def receive(self, message):
         """Handle a Gossip message from a neighbour."""
@@ -136,14 +145,15 @@
         link = self.links_by_node.get(message.sender)
         self._members.table.merge(message.records)
         self._services.merge(message.services)
+        self._crashes.merge(message.crashes)
         if link:
-            link.discard(message.records, message.services)
+            link.discard(message.records, message.services, message.crashes)
         if link and message.head != NO_HEAD:
             self._reported_version_by_node[message.sender] = message.head.version
         self.on_head(message.head, message.sender_address)
         # A sender of rows alone needs no head in the reply: versions are compared
         # by heartbeats.
-        has_rows = bool(message.records or message.services)
+        has_rows = bool(message.records or message.services or message.crashes)
         is_rows_only = has_rows and message.head == NO_HEAD
         return GossipReply(NO_HEAD if is_rows_only else self._heads.head)
 
@@ -184,6 +194,9 @@
         self._changed_at = self._clock.monotonic()
         self._offer(services=states)
 
+    def _add_crashes(self, keys):
+        self._offer(crash_keys=keys)
+
     def _offer(self, **updates):
         for link in list(self.links_by_node.values()):
             link.offer(**updates)
@@ -294,7 +307,8 @@
         is_head_known = (
             self._reported_version_by_node.get(record.node, 0) >= head.version
         )
-        if is_head_known and not updates.records and not updates.services:
+        has_rows = updates.records or updates.services or updates.crash_keys
+        if is_head_known and not has_rows:
             # The neighbour itself has reported this version or a later one; heartbeats
             # find and repair any difference that remains.
             return True
@@ -304,6 +318,7 @@
             head if updates.has_head and not is_head_known else NO_HEAD,
             tuple(updates.records.values()),
             tuple(updates.services.values()),
+            self._crashes.reports(updates.crash_keys),
         )
         return self._request(record, message) is not None
 
--- a/rattanworks/membership/links.py
+++ b/rattanworks/membership/links.py
@@ -21,16 +21,20 @@
 
 
 class PendingUpdates:
-    """Rows not yet sent to a neighbour, and whether the head is to be sent."""
+    """What was not yet sent to a neighbour.
+
+    Rows by name, the keys of crash reports, and whether the head is to be sent.
+    """
 
     def __init__(self):
         self.records = {}
         self.services = {}
+        self.crash_keys = {}
         self.has_head = False
 
     def __bool__(self):
         """Return whether there is anything to send."""
-        return bool(self.records or self.services or self.has_head)
+        return bool(self.records or self.services or self.crash_keys or self.has_head)
 
     def take_batch(self):
         """Remove the content of one message and return it."""
@@ -38,6 +42,7 @@
         batch.has_head, self.has_head = self.has_head, False
         batch.records = _take_rows(self.records)
         batch.services = _take_rows(self.services)
+        batch.crash_keys = _take_rows(self.crash_keys)
         return batch
 
 
@@ -84,8 +89,10 @@
             self._is_closed = True
             self._changed.notify_all()
 
-    def offer(self, records=(), services=(), has_head=False, is_urgent=True):
-        """Queue rows and, if set, the head for the neighbour.
+    def offer(
+        self, records=(), services=(), crash_keys=(), has_head=False, is_urgent=True
+    ):
+        """Queue rows, crash reports and, if set, the head for the neighbour.
 
         Urgent updates are sent sooner; others wait longer, so that more of them
         share one message. Load pattern: many nodes start or leave at once, and each
@@ -99,14 +106,17 @@
                 _keep_newest(self._pending.records, row.node, row)
             for row in services:
                 _keep_newest(self._pending.services, row.service, row)
+            self._pending.crash_keys.update(dict.fromkeys(crash_keys))
             self._pending.has_head |= has_head
             self._changed.notify_all()
 
-    def discard(self, records, services):
-        """Drop queued rows that the neighbour itself has sent."""
+    def discard(self, records, services, crashes=()):
+        """Drop what is queued and was sent by the neighbour itself."""
         with self._changed:
             _drop(self._pending.records, [(row.node, row) for row in records])
             _drop(self._pending.services, [(row.service, row) for row in services])
+            for report in crashes:
+                self._pending.crash_keys.pop(report.key, None)
 
     def record_contact(self):
         """Postpone the next heartbeat: the neighbour has just sent a message."""
--- a/rattanworks/membership/sync.py
+++ b/rattanworks/membership/sync.py
@@ -67,14 +67,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Tables:
-    """The state that all nodes share: members, services and the newest head.
+    """The state that all nodes share: members, services, newest head, crash reports.
 
-    ``heads`` has the attribute ``head``.
+    ``heads`` has the attribute ``head``; ``crashes`` are CrashReports.
     """
 
     members: object
     services: object
     heads: object
+    crashes: object
 
 
 class Reconciler:
@@ -88,6 +89,7 @@
         self._members = tables.members
         self._services = tables.services
         self._heads = tables.heads
+        self._crashes = tables.crashes
         self._peers = peers
         self._random = rng or random.Random()
         self._slots = SnapshotSlots(clock)
@@ -104,9 +106,12 @@
 
     def _reconcile(self, address):
         members, services = self._members.table, self._services
-        request = SyncRequest(members.bucket_digests, services.bucket_digests)
+        request = SyncRequest(
+            members.bucket_digests, services.bucket_digests, self._crashes.reports()
+        )
         reply = self._request(address, request)
         self.on_head(reply.head, address)
+        self._crashes.merge(reply.crashes)
         records, wanted = members.compare(reply.members, set(reply.member_buckets))
         states, wanted_states = services.compare(
             reply.services, set(reply.service_buckets)
@@ -176,6 +181,7 @@
     def receive_sync(self, message):
         """Handle a SyncRequest."""
         members, services = self._members.table, self._services
+        self._crashes.merge(message.crashes)
         member_buckets = members.differing_buckets(message.members)
         service_buckets = services.differing_buckets(message.services)
         return SyncReply(
@@ -184,6 +190,7 @@
             services.precedences_in(service_buckets),
             tuple(member_buckets),
             tuple(service_buckets),
+            self._crashes.reports(),
         )
 
     def receive_rows(self, message):
--- a/rattanworks/model/call.py
+++ b/rattanworks/model/call.py
@@ -74,7 +74,9 @@
     the service of the host where the call entered the mesh, empty when unknown.
     ``objective`` is the time until which an answer has its full value, on the same
     clock as the deadline, 0 for none. ``is_repeat`` is set when the call has been
-    sent to a backend server before.
+    sent to a backend server before. ``fingerprint`` is the same for all calls with the
+    same content, empty when unknown. ``is_trial`` is set when the call runs in spite of
+    its quarantine.
     """
 
     request_id: str
@@ -96,6 +98,8 @@
     objective: float = 0.0
     is_repeat: bool = False
     kind: RouteKind = RouteKind.BY_METHOD
+    fingerprint: str = ""
+    is_trial: bool = False
 
     @property
     def is_idempotent(self):
@@ -118,7 +122,8 @@
     occupied, above 1 when calls would be ahead of it in the queue. ``retry_after``
     is in seconds, 0 for none. ``is_offered`` is set when the call was sent to a
     backend server, whatever the result. ``notice`` is for the node beside the backend
-    server, None without one.
+    server, None without one. ``crashed_server`` identifies the run of the backend
+    server that crashed while it was running the call, empty when none did.
     """
 
     status: int
@@ -130,6 +135,7 @@
     reason: str = ""
     is_offered: bool = False
     notice: ServerNotice | None = None
+    crashed_server: str = ""
 
 
 def refusal(status, reason, retry_after=0.0, load=0.0):
--- a/rattanworks/model/control.py
+++ b/rattanworks/model/control.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from rattanworks.model.claim import Claim
+from rattanworks.model.crash import CrashReport
 from rattanworks.model.endpoint import Counter, EndpointRecord, Name
 from rattanworks.model.service import ServiceState
 from rattanworks.model.version import NO_HEAD, Head
@@ -50,6 +51,7 @@
     head: Head = NO_HEAD
     records: tuple[EndpointRecord, ...] = ()
     services: tuple[ServiceState, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,17 +63,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
-    """The digest of each bucket of the sender's tables."""
+    """The digest of each bucket of the sender's tables, and its crash reports."""
 
     members: tuple[int, ...] = ()
     services: tuple[int, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
     """The buckets that differ, and the precedences of the receiver's rows in them.
 
-    Precedences are keyed by the name of the node or service.
+    Precedences are keyed by the name of the node or service. ``crashes`` has all the
+    crash reports of the receiver.
     """
 
     head: Head
@@ -79,6 +83,7 @@
     services: dict[str, tuple[int, int, int, int]] = field(default_factory=dict)
     member_buckets: tuple[int, ...] = ()
     service_buckets: tuple[int, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -64,6 +64,7 @@
 from rattanworks.node.lifecycle import Lifecycle
 from rattanworks.node.metrics import MeteredEntry, add_gauges, new_registry
 from rattanworks.ports.base import Store
+from rattanworks.quarantine.breaker import CallQuarantine, build_quarantine
 from rattanworks.roles.base import FAST_TIMING, LeasedRole
 from rattanworks.roles.candidates import candidates, needed_slots
 from rattanworks.routing.choice import EndpointChooser
@@ -113,6 +114,7 @@
     registry: CollectorRegistry
     entry: MeteredEntry
     retry_budget: RetryBudget
+    quarantine: CallQuarantine
     moves: MoveParticipant
     orders: MoveOrders
     declarer: ServiceDeclarer
@@ -184,8 +186,15 @@
     services = PrecedenceTable(lambda state: state.service)
     configuration = Configuration(validate_version)
     replicator = Replicator(configuration, peers, store, clock)
+    quarantine = build_quarantine(clock, settings.host.name)
     gossiper = Gossiper(
-        members, services, replicator, peers, clock, settings.membership
+        members,
+        services,
+        replicator,
+        peers,
+        clock,
+        settings.membership,
+        crashes=quarantine.reports,
     )
     gossiper.on_head = replicator.handle_peer_head
     configuration.add_listener(gossiper.announce_head)
@@ -198,6 +207,7 @@
         clock,
         settings.traffic.queue_length,
         settings.traffic.queue_per_slot,
+        quarantine,
     )
     chooser = EndpointChooser(settings.host, clock, lambda: owner.load)
     claims = RoutedClaims(PagedClaims(store, clock), members, peers, clock)
@@ -223,6 +233,7 @@
         clock,
         budget=retry_budget,
         caller_service=settings.host.service,
+        quarantine=quarantine,
     )
     entry.observer = evidence
     registry = new_registry()
@@ -249,6 +260,7 @@
         registry=registry,
         entry=MeteredEntry(entry, registry, clock),
         retry_budget=retry_budget,
+        quarantine=quarantine,
         moves=moves,
         orders=MoveOrders(store, services, members, clock),
         declarer=ServiceDeclarer(store, services),
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -4,6 +4,7 @@
 from prometheus_client.process_collector import ProcessCollector
 
 from rattanworks.model.service import MoveStatus
+from rattanworks.quarantine.breaker import QUARANTINE_CRASHES
 
 CALL_SECONDS_BUCKETS = (
     *(0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1),
@@ -91,6 +92,14 @@
             "Calls a second that the backend server says it takes, 0 if it names none",
             lambda: owner.limit or 0.0,
         ),
+        "rattanworks_suspected_calls": (
+            "Calls with different content that ran when a backend server crashed",
+            lambda: node.quarantine.count_calls(1),
+        ),
+        "rattanworks_quarantined_calls": (
+            "Calls with different content that are refused, as servers crashed",
+            lambda: node.quarantine.count_calls(QUARANTINE_CRASHES),
+        ),
         "rattanworks_running_moves": (
             "Moves that run, as far as this node knows",
             lambda: _count_running_moves(node.services),
--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -92,6 +92,10 @@
             notice=read_notice(answer.headers, self._pool.address),
         )
 
+    def is_reachable(self):
+        """Return whether the server accepts a new connection."""
+        return self._pool.is_reachable()
+
     def cancel(self, request_id):
         """Do nothing: the server drops a request when its connection closes."""
 
--- a/rattanworks/ports/base.py
+++ b/rattanworks/ports/base.py
@@ -166,6 +166,10 @@
         when the answer did not come back whole.
         """
 
+    def is_reachable(self):
+        """Return whether the server accepts a new connection."""
+        return True
+
     @abc.abstractmethod
     def cancel(self, request_id):
         """Notify the server that the caller no longer waits for this call."""
--- /dev/null
+++ b/rattanworks/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of calls that crash the backend servers that run them."""
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -22,6 +22,8 @@
 )
 from rattanworks.model.route import NO_LIMIT
 from rattanworks.model.version import NO_HEAD
+from rattanworks.quarantine.breaker import QUARANTINED, build_quarantine
+from rattanworks.quarantine.fingerprint import fingerprint_of
 from rattanworks.routing.attempts import Attempt, Attempts
 from rattanworks.routing.failure_share import FailureShare
 from rattanworks.routing.retries import (
@@ -90,6 +92,7 @@
         rng=None,
         budget=None,
         caller_service="",
+        quarantine=None,
     ):
         self._tables = tables
         self._chooser = chooser
@@ -100,6 +103,7 @@
         self._random = rng or random.Random()
         self._budget = budget or RetryBudget(clock)
         self._caller_service = caller_service
+        self._quarantine = quarantine or build_quarantine(clock)
         self._failures = FailureShare(clock)
         self._policy = RetryPolicy(self._budget, self._failures)
         self.observer = None
@@ -130,8 +134,23 @@
             )
         if deadline < call.deadline:
             call = replace(call, deadline=deadline)
+        verdict = self._quarantine.check(call.fingerprint)
+        if not verdict.may_run:
+            return self._refuse_quarantined(call, verdict)
+        call = replace(call, is_trial=verdict.is_trial)
         return self._answer(request, match.route, call, target)
 
+    def _refuse_quarantined(self, call, verdict):
+        log_event(
+            "call-quarantined",
+            request_id=call.request_id,
+            service=call.service,
+            fingerprint=call.fingerprint,
+            crashes=verdict.crashes,
+            retry_after=round(verdict.retry_after, 3),
+        )
+        return refusal(503, QUARANTINED, verdict.retry_after)
+
     def _answer(self, request, route, call, target):
         attempts = Attempts(route.attempts or DEFAULT_ATTEMPTS)
 
@@ -209,6 +228,13 @@
             host=request.host,
             caller_service=self._caller_service,
             kind=route.kind,
+            fingerprint=fingerprint_of(
+                request.customer,
+                request.method,
+                request.host,
+                request.target,
+                request.body,
+            ),
         )
 
     def _deadline(self, request, route):
@@ -264,6 +290,8 @@
     def _is_retried(self, call, attempt, may_retry, attempts):
         if self._is_expired_or_abandoned(call) or not attempts.may_continue:
             return False
+        if call.is_trial or self._quarantine.is_held(call.fingerprint):
+            return False
         return self._policy.is_retried(call, attempt, may_retry)
 
     def _log_attempt(self, call, record, attempt):
@@ -299,6 +327,8 @@
             load, has_failed = answer.load, is_failed(answer)
             if answer.outcome == Outcome.DONE:
                 seconds = self._clock.monotonic() - started_at
+            if answer.crashed_server:
+                self._quarantine.record_crash(call, answer.crashed_server)
             return Attempt(answer)
         except CallNotSentError as error:
             self._record_unreachable(record)
--- a/rattanworks/tests/membership/links_tests.py
+++ b/rattanworks/tests/membership/links_tests.py
@@ -21,8 +21,10 @@
     SyncReply,
     SyncRequest,
 )
+from rattanworks.model.crash import CrashReport
 from rattanworks.model.endpoint import EndpointState
 from rattanworks.model.version import NO_HEAD, Head
+from rattanworks.quarantine.reports import CrashReports
 from rattanworks.tests.builders import build_record
 from rattanworks.tests.fakes import FakeClock, FakeControlPeers, NetworkControlPeers
 from rattanworks.tests.membership.mesh import SETTINGS, Heads, Mesh
@@ -145,6 +147,34 @@
         rows = [row for updates in exchange.sent for row in updates.records.values()]
         self.assertEqual(rows, [members.own])
 
+    def test_a_crash_report_is_sent_on_with_the_age_that_it_has_by_then(self):
+        clock = FakeClock(100.0)
+        crashes = CrashReports(clock)
+        peers = FakeControlPeers()
+        gossiper = Gossiper(
+            Members(build_record("own")),
+            PrecedenceTable(lambda state: state.service),
+            Heads(),
+            peers,
+            clock,
+            SETTINGS,
+            crashes=crashes,
+        )
+        self.addCleanup(gossiper.detector.stop)
+        exchange = FakeExchange()
+        for name in ("sender", "peer"):
+            link = PeerLink(build_record(name), exchange, 5.0)
+            self.addCleanup(link.close)
+            gossiper.links_by_node[name] = link
+        report = CrashReport("call", "server", 1.0)
+        gossiper.receive(Gossip("sender", "x", crashes=(report,)))
+        self.assertFalse(gossiper.links_by_node["sender"]._pending)
+        clock.advance(0.5)
+        updates = gossiper.links_by_node["peer"]._pending
+        gossiper.send_updates(build_record("peer"), updates)
+        _, message = peers.requests[-1]
+        self.assertEqual(message.crashes, (CrashReport("call", "server", 1.5),))
+
     def test_a_message_of_rows_alone_gets_no_head_in_reply(self):
         members = Members(build_record("own"))
         services = PrecedenceTable(lambda state: state.service)
--- a/rattanworks/tests/membership/mesh.py
+++ b/rattanworks/tests/membership/mesh.py
@@ -19,6 +19,7 @@
 )
 from rattanworks.model.endpoint import EndpointState
 from rattanworks.model.version import NO_HEAD
+from rattanworks.quarantine.reports import CrashReports
 from rattanworks.settings.node import MembershipSettings
 from rattanworks.tests.builders import build_record
 from rattanworks.tests.fakes import FakeClock, FakeNetwork, NetworkControlPeers
@@ -56,7 +57,8 @@
         self.detector = FailureDetector(
             self.members, peers, self.guard, self.clock, SETTINGS, rng
         )
-        tables = Tables(self.members, self.services, Heads())
+        self.crashes = CrashReports(self.clock)
+        tables = Tables(self.members, self.services, Heads(), self.crashes)
         self.reconciler = Reconciler(tables, peers, self.clock, rng)
         network.handlers_by_address[record.control_address] = {
             Heartbeat: self.receive_heartbeat,
--- a/rattanworks/tests/platform/backend_tests.py
+++ b/rattanworks/tests/platform/backend_tests.py
@@ -52,6 +52,12 @@
 
 
 class PlatformBackendTests(BackendTestCase):
+    def test_a_server_that_ended_is_not_reachable(self):
+        self.start([answer()])
+        self.assertTrue(self.backend.is_reachable())
+        self.server.close()
+        self.assertFalse(self.backend.is_reachable())
+
     def test_the_server_gets_the_headers_that_the_system_sets(self):
         self.start([answer()])
         result = self.run_call(headers=(("Accept", "text/plain"),))
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -21,6 +21,8 @@
 )
 
 CONNECT_SECONDS = 1.0
+# A process on this host accepts or refuses a connection at once.
+REACHABLE_SECONDS = 0.25
 # Late answers to earlier requests that may precede a request's own answer.
 MAX_LATE_ANSWERS = 3
 # A server closes an idle connection after a timeout that it may announce; the rest
@@ -86,6 +88,14 @@
         connection = self._connect(min(seconds_left(options.deadline), CONNECT_SECONDS))
         return self._send_on(connection, method, target, headers, body, options)
 
+    def is_reachable(self):
+        """Return whether the server accepts a new connection."""
+        try:
+            self._connect(REACHABLE_SECONDS).close()
+        except CallNotSentError:
+            return False
+        return True
+
     def _take_idle(self):
         while True:
             with self._lock:
