Report a crash also after other calls found the server gone

It was then not reported, since only a serving endpoint's calls were. What matters is whether the server had said that it leaves. The new test failed before.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -364,9 +364,8 @@
         A connection also ends when a server stops as planned, or breaks off one answer
         and runs on.
         """
-        if isinstance(error, ENDED_BY_NODE) or not self._is_serving():
-            return ""
-        if announcement.identity == self._left_identity or backend.is_reachable():
+        has_left = announcement.identity == self._left_identity
+        if isinstance(error, ENDED_BY_NODE) or has_left or backend.is_reachable():
             return ""
         server = _run_name(self._members.own.node, announcement)
         if self._crashed_identity != announcement.identity:
--- a/rattanworks/tests/quarantine/breaker_tests.py
+++ b/rattanworks/tests/quarantine/breaker_tests.py
@@ -176,6 +176,17 @@
         answer = self.dispatch(fingerprint=DEADLY)
         self.assertEqual(answer.crashed_server, "")
 
+    def test_a_crash_is_reported_after_other_calls_found_the_server_gone(self):
+        self.attach(self.server)
+
+        def crash(call):
+            self.server.crashed = True
+            self.owner._withdraw()
+            raise CallOutcomeUnknownError("cut")
+
+        self.server.on_run = crash
+        self.assertTrue(self.dispatch(fingerprint=DEADLY).crashed_server)
+
     def test_a_held_call_that_was_waiting_does_not_run(self):
         self.attach(self.server)
         for server in "ab":
