--- a/rattanworks/quarantine/breaker.py
+++ b/rattanworks/quarantine/breaker.py
@@ -59,23 +59,21 @@
 
     def is_held(self, fingerprint):
         """Return whether a call may run only as a trial."""
-        return self._count_crashes(fingerprint) >= QUARANTINE_CRASHES
+        return len(self._crash_times(fingerprint)) >= QUARANTINE_CRASHES
 
     def count_calls(self, crashes):
         """Return how many fingerprints have at least so many crashes."""
         fingerprints = {report.fingerprint for report in self.reports.reports()}
-        return sum(self._count_crashes(known) >= crashes for known in fingerprints)
+        return sum(len(self._crash_times(known)) >= crashes for known in fingerprints)
 
-    def _count_crashes(self, fingerprint):
+    def _crash_times(self, fingerprint):
         if fingerprint not in self.reports:
-            return 0
-        return len(self.reports.crash_times(fingerprint))
+            return []
+        return self.reports.crash_times(fingerprint)
 
     def check(self, fingerprint):
         """Return the Verdict on a call; a trial that it grants has begun."""
-        if not self.is_held(fingerprint):
-            return MAY_RUN
-        times = self.reports.crash_times(fingerprint)
+        times = self._crash_times(fingerprint)
         if len(times) < QUARANTINE_CRASHES:
             return MAY_RUN
         fraction = hash_fraction(f"{fingerprint}|{self._node}|{len(times)}")
@@ -102,12 +100,12 @@
                 service=call.service,
                 fingerprint=call.fingerprint,
                 server=server,
-                crashes=self._count_crashes(call.fingerprint),
+                crashes=len(self._crash_times(call.fingerprint)),
             )
 
     def record_answer(self, call):
         """Clear a call that a backend server has answered without crashing."""
-        if self._count_crashes(call.fingerprint):
+        if self._crash_times(call.fingerprint):
             log_event(
                 "call-cleared",
                 request_id=call.request_id,
