--- a/rattanworks/tests/adapters/peers_tests.py
+++ b/rattanworks/tests/adapters/peers_tests.py
@@ -4,6 +4,7 @@
 import unittest
 import unittest.mock
 import weakref
+from dataclasses import replace
 
 from msgspec import structs
 
@@ -21,7 +22,7 @@
     CallOutcomeUnknownError,
     CallTimedOutError,
 )
-from rattanworks.model.call import Answer, StreamedBody, refusal
+from rattanworks.model.call import Answer, StreamedBody, refusal, unknown_outcome
 from rattanworks.tests.adapters.peers_case import (
     LARGE_BODY,
     TIMEOUT_SECONDS,
@@ -86,6 +87,18 @@
             with self.assertRaises(DecodeError):
                 decode_clock(encode_binary(time_of_owner))
 
+    def test_the_owner_knows_a_call_by_its_fingerprint_and_the_entry_a_crash(self):
+        received = []
+
+        def crash(message, call):
+            received.append((call.fingerprint, call.is_trial))
+            return replace(unknown_outcome(502, "cut"), crashed_server="run-1")
+
+        self.serve(crash)
+        answer = self.dispatch(fingerprint="f" * 32, is_trial=True)
+        self.assertEqual(received, [("f" * 32, True)])
+        self.assertEqual(answer.crashed_server, "run-1")
+
     def test_long_bodies_travel_in_pieces_both_ways(self):
         self.serve(lambda message, call: Answer(200, body=b"".join(call.body)))
         for body in (LARGE_BODY, memoryview(LARGE_BODY)):
