Do not take a late call that may not be repeated for an estimate of its time

What callers saw: an upload taken 4 s into a planned stop of 6 s got a 504 at its end, while its backend server was running it. It may not be sent again.

Cause: late in a stop a call was taken if twice its route's objective fitted into what is left, whether it may be repeated or not. A call that takes longer is given up. Now only the call's own time counts for one that may not be repeated; otherwise it is refused as not run, and its caller can go elsewhere.

--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -127,7 +127,9 @@
             text = f"service {service} is not available now"
             return self._refuse_unmatched(request, 503, text)
         call = self._call_for(request, match, target)
-        deadline = request.call_deadline(call.deadline, call.objective)
+        # Only a call that may be repeated is worth the risk that a stop cuts it.
+        objective = call.objective if call.is_idempotent else NO_OBJECTIVE
+        deadline = request.call_deadline(call.deadline, objective)
         if deadline is None:
             return self._refuse_unmatched(
                 request, 503, "the node stops before the call ends"
--- a/rattanworks/tests/routing/retries_tests.py
+++ b/rattanworks/tests/routing/retries_tests.py
@@ -1,5 +1,6 @@
 import unittest
 
+from rattanworks.admission.waiting import NO_OBJECTIVE
 from rattanworks.exceptions import CallNotSentError
 from rattanworks.model.call import Answer, Outcome, refusal, unknown_outcome
 from rattanworks.routing.entry import CallerRequest
@@ -43,6 +44,23 @@
         self.assertFalse(is_retriable(post, Answer(500)))
         self.assertFalse(is_retriable(get, Answer(404)))
 
+    def test_a_late_call_that_may_not_be_repeated_is_not_taken_for_its_objective(self):
+        """In a planned stop it could be cut, and its caller could not repeat it."""
+
+        def call_deadline(deadline, objective):
+            return None if objective == NO_OBJECTIVE else deadline
+
+        for method, expected in (("GET", (200, 1)), ("POST", (503, 0))):
+            with self.subTest(method):
+                peer_calls = ScriptedPeerCalls(Answer(200))
+                entry = entry_with(
+                    peer_calls, lists=lists_with_route(objective_seconds=0.2)
+                )
+                answer = entry.handle(
+                    request(method=method, call_deadline=call_deadline)
+                )
+                self.assertEqual((answer.status, len(peer_calls.dispatched)), expected)
+
     def test_inner_entries_of_a_chain_do_not_retry(self):
         answer, tries = self.handle(BUSY, Answer(200), has_outer_retries=True)
         self.assertEqual((answer.outcome, tries), (Outcome.NOT_RUN, 1))
