Leave expired crash reports out of the digest that neighbours compare

Found on reading: the digest was worked out at each merge only. A node that started after reports had expired got none of them, while the digest of the others still had them: neighbours would have synchronized at each heartbeat until the next crash. The new test failed before.

--- a/rattanworks/quarantine/reports.py
+++ b/rattanworks/quarantine/reports.py
@@ -34,12 +34,24 @@
         self._lock = threading.Lock()
         self._crashes_by_fingerprint = {}
         self._listeners = []
-        self.digest = 0
 
     def add_listener(self, listener):
         """Call ``listener`` with a tuple of the keys that a merge changed."""
         self._listeners.append(listener)
 
+    @property
+    def digest(self):
+        """Return a hash of the reports of calls with COMPARED_CRASHES or more."""
+        digest = 0
+        oldest = self._clock.monotonic() - KEEP_SECONDS
+        for fingerprint, crashes in self._crashes_by_fingerprint.items():
+            if len(crashes) < COMPARED_CRASHES:
+                continue
+            for server, crash in crashes.items():
+                if crash.crashed_at > oldest:
+                    digest ^= digest_of(f"{fingerprint}|{server}", (crash.is_cleared,))
+        return digest
+
     def __contains__(self, fingerprint):
         """Return whether there are reports of a call, cleared ones included."""
         return fingerprint in self._crashes_by_fingerprint
@@ -82,7 +94,6 @@
             _drop_expired(by_fingerprint, now - KEEP_SECONDS)
             _drop_excess(by_fingerprint)
             self._crashes_by_fingerprint = by_fingerprint
-            self.digest = _digest(by_fingerprint)
         for listener in self._listeners:
             listener(tuple(keys))
         return tuple(keys)
@@ -145,12 +156,3 @@
 
 def _count_open(crashes):
     return sum(not crash.is_cleared for crash in crashes.values())
-
-
-def _digest(by_fingerprint):
-    digest = 0
-    for fingerprint, crashes in by_fingerprint.items():
-        if len(crashes) >= COMPARED_CRASHES:
-            for server, crash in crashes.items():
-                digest ^= digest_of(f"{fingerprint}|{server}", (crash.is_cleared,))
-    return digest
--- a/rattanworks/tests/quarantine/reports_tests.py
+++ b/rattanworks/tests/quarantine/reports_tests.py
@@ -46,6 +46,12 @@
         self.assertEqual(self.reports.reports(), ())
         self.assertEqual(self.merge(("call", "server", KEEP_SECONDS)), ())
 
+    def test_a_node_that_starts_when_reports_have_expired_does_not_differ(self):
+        self.merge(("call", "a", 0.0), ("call", "b", 0.0))
+        self.assertNotEqual(self.reports.digest, 0)
+        self.clock.advance(KEEP_SECONDS)
+        self.assertEqual(self.reports.digest, CrashReports(self.clock).digest)
+
     def test_a_call_with_many_crashes_is_kept_when_there_are_too_many_reports(self):
         self.merge(("deadly", "a", 50.0), ("deadly", "b", 50.0))
         for number in range(2 * MAX_REPORTS):
