Look up crash reports in one place, and copy a call only for a trial

CallQuarantine had a shortcut around CrashReports.crash_times that the table can take by itself; with it went __contains__, which nothing else called. The entry copied every call to set a flag that is false for all but trials. The digest of the reports was worked out twice for each comparison of nodes. Behaviour is the same.

--- a/rattanworks/membership/gossip.py
+++ b/rattanworks/membership/gossip.py
@@ -134,9 +134,10 @@
     def digest(self):
         """Return one hash of the tables."""
         digests = [self._members.table.digest, self._services.digest]
-        if self._crashes.digest:
+        crashes_digest = self._crashes.digest
+        if crashes_digest:
             # Left out while there are none: earlier releases do not know of them.
-            digests.append(self._crashes.digest)
+            digests.append(crashes_digest)
         return combined_digest(*digests)
 
     def receive(self, message):
--- a/rattanworks/quarantine/breaker.py
+++ b/rattanworks/quarantine/breaker.py
@@ -1,5 +1,6 @@
 """Decides whether a call that may crash backend servers is run."""
 
+import math
 import threading
 from dataclasses import dataclass
 
@@ -59,28 +60,25 @@
 
     def is_held(self, fingerprint):
         """Return whether a call may run only as a trial."""
-        return len(self._crash_times(fingerprint)) >= QUARANTINE_CRASHES
+        return len(self.reports.crash_times(fingerprint)) >= QUARANTINE_CRASHES
 
     def count_calls(self, crashes):
         """Return how many fingerprints have at least so many crashes."""
         fingerprints = {report.fingerprint for report in self.reports.reports()}
-        return sum(len(self._crash_times(known)) >= crashes for known in fingerprints)
-
-    def _crash_times(self, fingerprint):
-        if fingerprint not in self.reports:
-            return []
-        return self.reports.crash_times(fingerprint)
+        return sum(
+            len(self.reports.crash_times(known)) >= crashes for known in fingerprints
+        )
 
     def check(self, fingerprint):
         """Return the Verdict on a call; a trial that it grants has begun."""
-        times = self._crash_times(fingerprint)
+        times = self.reports.crash_times(fingerprint)
         if len(times) < QUARANTINE_CRASHES:
             return MAY_RUN
         fraction = hash_fraction(f"{fingerprint}|{self._node}|{len(times)}")
         delay = trial_delay(len(times)) * (1 + fraction)
         now = self._clock.monotonic()
         with self._lock:
-            tried_at = self._tried_at_by_fingerprint.get(fingerprint, max(times))
+            tried_at = self._tried_at_by_fingerprint.get(fingerprint, -math.inf)
             retry_after = max(tried_at, *times) + delay - now
             if retry_after > 0:
                 return Verdict(False, False, len(times), retry_after)
@@ -100,12 +98,12 @@
                 service=call.service,
                 fingerprint=call.fingerprint,
                 server=server,
-                crashes=len(self._crash_times(call.fingerprint)),
+                crashes=len(self.reports.crash_times(call.fingerprint)),
             )
 
     def record_answer(self, call):
         """Clear a call that a backend server has answered without crashing."""
-        if self._crash_times(call.fingerprint):
+        if self.reports.crash_times(call.fingerprint):
             log_event(
                 "call-cleared",
                 request_id=call.request_id,
--- a/rattanworks/quarantine/reports.py
+++ b/rattanworks/quarantine/reports.py
@@ -52,14 +52,12 @@
                     digest ^= digest_of(f"{fingerprint}|{server}", (crash.is_cleared,))
         return digest
 
-    def __contains__(self, fingerprint):
-        """Return whether there are reports of a call, cleared ones included."""
-        return fingerprint in self._crashes_by_fingerprint
-
     def crash_times(self, fingerprint):
         """Return the monotonic times of a call's crashes that are not cleared."""
+        crashes = self._crashes_by_fingerprint.get(fingerprint)
+        if crashes is None:
+            return []
         oldest = self._clock.monotonic() - KEEP_SECONDS
-        crashes = self._crashes_by_fingerprint.get(fingerprint, {})
         return [
             crash.crashed_at
             for crash in crashes.values()
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -139,7 +139,8 @@
         verdict = self._quarantine.check(call.fingerprint)
         if not verdict.may_run:
             return self._refuse_quarantined(call, verdict)
-        call = replace(call, is_trial=verdict.is_trial)
+        if verdict.is_trial:
+            call = replace(call, is_trial=True)
         return self._answer(request, match.route, call, target)
 
     def _refuse_quarantined(self, call, verdict):
--- a/rattanworks/tests/quarantine/breaker_tests.py
+++ b/rattanworks/tests/quarantine/breaker_tests.py
@@ -8,6 +8,7 @@
     CallTimedOutError,
 )
 from rattanworks.model.call import Answer, Outcome
+from rattanworks.model.crash import CrashReport
 from rattanworks.quarantine.breaker import (
     QUARANTINE_CRASHES,
     build_quarantine,
@@ -72,6 +73,13 @@
             self.assertGreaterEqual(delay, trial_delay(crashes))
             self.assertLess(delay, 2 * trial_delay(crashes))
 
+    def test_a_host_that_has_just_booted_grants_a_trial_by_the_age_of_the_crashes(self):
+        clock = FakeClock(1.0)
+        quarantine = build_quarantine(clock, "node-1")
+        age = 2 * trial_delay(QUARANTINE_CRASHES)
+        quarantine.reports.merge(CrashReport(DEADLY, server, age) for server in "ab")
+        self.assertTrue(quarantine.check(DEADLY).is_trial)
+
     def test_an_innocent_call_that_ran_at_crashes_is_cleared_when_it_ends_well(self):
         self.crash("a", "b")
         self.quarantine.record_answer(self.call)
@@ -141,7 +149,7 @@
         answer = self.run_and_fail(CallOutcomeUnknownError("cut"))
         self.assertEqual(answer.outcome, Outcome.UNKNOWN)
         self.assertTrue(answer.crashed_server)
-        self.assertIn(DEADLY, self.owner._quarantine.reports)
+        self.assertEqual(len(self.owner._quarantine.reports.crash_times(DEADLY)), 1)
 
     def test_each_run_of_a_server_crashes_once(self):
         servers = set()
