Send a call once on a kept connection, and leave its repeat to the retry budget

Cause: the pool of connections repeated a call by itself when a kept connection closed under it. No budget, no limit of attempts and no log knew of it.

Now the call comes up as sent, outcome unknown, and the entry decides. The new tests fail before: 65 arrivals beyond the first of 200 calls with 50 allowed, and two arrivals of one call. The test that held the old behaviour is replaced by one that counts the requests.

--- a/rattanworks/adapters/http_backend.py
+++ b/rattanworks/adapters/http_backend.py
@@ -50,7 +50,6 @@
         options = RequestOptions(
             deadline=time.monotonic() + left,
             may_reuse=call.is_idempotent,
-            may_repeat=call.is_idempotent and isinstance(call.body, bytes | memoryview),
             is_abandoned=call.is_abandoned,
             is_own_answer=lambda answer: _is_answer_to(answer, call),
         )
--- a/rattanworks/platform/backend.py
+++ b/rattanworks/platform/backend.py
@@ -56,7 +56,6 @@
         )
         options = RequestOptions(
             deadline=time.monotonic() + remaining_seconds,
-            may_repeat=call.is_idempotent and isinstance(call.body, bytes | memoryview),
             is_abandoned=call.is_abandoned,
             is_own_answer=lambda answer: _belongs_to(answer, call),
             skips_other_answers=True,
--- a/rattanworks/tests/platform/backend_tests.py
+++ b/rattanworks/tests/platform/backend_tests.py
@@ -138,6 +138,13 @@
         with self.assertRaises(CallOutcomeUnknownError):
             self.run_call(seconds=0.3)
 
+    def test_a_call_whose_answer_is_lost_on_a_kept_connection_arrives_once(self):
+        self.start([answer(), None], [answer()])
+        self.run_call()
+        with self.assertRaises(CallOutcomeUnknownError):
+            self.run_call()
+        self.assertEqual(len(self.server.requests), 2)
+
     def test_a_non_idempotent_call_may_reuse_a_connection(self):
         self.start([answer(), answer()])
         self.run_call()
--- a/rattanworks/tests/routing/retries_tests.py
+++ b/rattanworks/tests/routing/retries_tests.py
@@ -1,13 +1,15 @@
 import unittest
 
+from rattanworks.adapters.http_backend import HttpBackendServer
 from rattanworks.admission.waiting import NO_OBJECTIVE
 from rattanworks.exceptions import CallNotSentError
 from rattanworks.model.call import Answer, Outcome, refusal, unknown_outcome
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.routing.retries import RetryBudget, RetrySettings, is_retriable
 from rattanworks.tests.builders import build_call, lists_with_route
-from rattanworks.tests.fakes import FakeClock
+from rattanworks.tests.fakes import FakeClock, FakePeerCalls
 from rattanworks.tests.routing.honesty_tests import ScriptedPeerCalls, entry_with
+from rattanworks.tests.servers import ScriptedServer, raw_answer
 
 BUSY = refusal(503, "busy", 2.0)
 
@@ -144,3 +146,42 @@
     def test_a_refusal_carries_the_seconds_to_retry_after(self):
         answer, _ = self.handle(BUSY, BUSY, BUSY)
         self.assertEqual(answer.retry_after, 2.0)
+
+
+class _BackendCalls(FakePeerCalls):
+    """Runs the calls of each node on a backend server of its own."""
+
+    def __init__(self, new_backend):
+        super().__init__()
+        self._new_backend = new_backend
+        self._backends_by_node = {}
+
+    def dispatch(self, record, call):
+        super().dispatch(record, call)
+        backend = self._backends_by_node.get(record.node)
+        if backend is None:
+            backend = self._backends_by_node[record.node] = self._new_backend()
+        return backend.run(call)
+
+
+class LostAnswerTests(unittest.TestCase):
+    """Servers run calls and close the kept connections instead of answering."""
+
+    def new_backend(self):
+        server = ScriptedServer([raw_answer(), raw_answer(), raw_answer(), None])
+        self.servers.append(server)
+        self.addCleanup(server.close)
+        backend = HttpBackendServer(server.address, 4, FakeClock())
+        self.addCleanup(backend.close)
+        return backend
+
+    def test_repeats_of_calls_on_kept_connections_stay_within_the_retry_budget(self):
+        self.servers = []
+        entry = entry_with(_BackendCalls(self.new_backend))
+        calls = 200
+        for _ in range(calls):
+            entry.handle(request())
+        arrivals = sum(len(server.requests) for server in self.servers)
+        settings = RetrySettings()
+        self.assertGreater(arrivals, calls)
+        self.assertLessEqual(arrivals - calls, settings.share * calls + settings.burst)
--- a/rattanworks/tests/utils/http_pool_tests.py
+++ b/rattanworks/tests/utils/http_pool_tests.py
@@ -81,24 +81,27 @@
         self.assertEqual(self.send().body, b"ok")
         self.assertEqual(self.server.connections, 2)
 
-    def test_an_idle_connection_that_closes_on_reuse(self):
-        self.start([raw_answer(), None], [raw_answer(b"again")])
-        self.send()
-        with self.assertRaises(CallOutcomeUnknownError):
-            self.send("POST")
+    def test_a_request_on_an_idle_connection_that_closes_is_not_sent_again(self):
+        for method in ("GET", "POST"):
+            with self.subTest(method):
+                self.start([raw_answer(), None], [raw_answer(b"again")])
+                self.send()
+                with self.assertRaises(CallOutcomeUnknownError):
+                    self.send(method)
+                self.assertEqual(len(self.server.requests), 2)
+                self.assertEqual(self.send(method).body, b"again")
+
+    def test_a_request_that_may_not_reuse_a_connection_gets_a_new_one(self):
         self.start([raw_answer(), None], [raw_answer(b"again")])
         self.send()
         self.assertEqual(self.send("POST", may_reuse=False).body, b"again")
-        self.start([raw_answer(), None], [raw_answer(b"again")])
-        self.send()
-        self.assertEqual(self.send(may_repeat=True).body, b"again")
 
     def test_a_request_under_which_the_server_ended_is_not_reported_as_not_sent(self):
         self.start([raw_answer(), None])
         self.send()
         self.server.close()
         with self.assertRaises(CallOutcomeUnknownError):
-            self.send(may_repeat=True)
+            self.send()
 
     def test_an_abandoned_exchange_ends_before_its_deadline(self):
         self.start([b""])
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -32,9 +32,8 @@
     """How one request is sent and its answer awaited.
 
     ``deadline`` is in seconds of time.monotonic(). Without ``may_reuse`` the
-    request is sent on a new connection. With ``may_repeat`` it is sent once more
-    when a reused connection turns out to be closed. ``is_abandoned()`` returns
-    whether the caller no longer waits. ``is_own_answer(answer)`` returns whether an
+    request is sent on a new connection. ``is_abandoned()`` returns whether the caller
+    no longer waits. ``is_own_answer(answer)`` returns whether an
     HttpAnswer belongs to the request; with ``skips_other_answers`` an answer that does
     not is dropped and the next one awaited. With ``may_end_by_close`` an answer
     without a length is complete when its connection ends cleanly. With
@@ -43,7 +42,6 @@
 
     deadline: float
     may_reuse: bool = True
-    may_repeat: bool = False
     is_abandoned: object = None
     is_own_answer: object = None
     skips_other_answers: bool = False
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -31,10 +31,6 @@
 FIRST_FINAL_STATUS = 200
 
 
-class ReusedConnectionClosedError(CallOutcomeUnknownError):
-    """A pooled connection was closed before any byte of an answer arrived."""
-
-
 class HttpPool:
     """Keeps idle connections to one server and uses at most ``limit`` at a time.
 
@@ -61,33 +57,21 @@
         return self.send(method, target, headers, body, options)
 
     def send(self, method, target, headers, body, options):
-        """Send a request with RequestOptions; return and raise as exchange does."""
+        """Send a request once, with RequestOptions; return and raise as exchange does.
+
+        A server may have run a request under which a kept connection closed.
+        """
         if not self._permits.acquire(timeout=seconds_left(options.deadline)):
             raise CallNotSentError(f"no free connection to {self.address}; retry")
         try:
-            return self._send_on_any(method, target, headers, body, options)
+            connection = self._take_idle() if options.may_reuse else None
+            if connection is None:
+                connect_seconds = min(seconds_left(options.deadline), CONNECT_SECONDS)
+                connection = self._connect(connect_seconds)
+            return self._send_on(connection, method, target, headers, body, options)
         finally:
             self._permits.release()
 
-    def _send_on_any(self, method, target, headers, body, options):
-        connection = self._take_idle() if options.may_reuse else None
-        if connection is None:
-            return self._send_on_new(method, target, headers, body, options)
-        try:
-            return self._send_on(connection, method, target, headers, body, options)
-        except ReusedConnectionClosedError as first_error:
-            if not options.may_repeat:
-                raise
-            try:
-                return self._send_on_new(method, target, headers, body, options)
-            except CallNotSentError as error:
-                # The server may have run the first request and crashed.
-                raise first_error from error
-
-    def _send_on_new(self, method, target, headers, body, options):
-        connection = self._connect(min(seconds_left(options.deadline), CONNECT_SECONDS))
-        return self._send_on(connection, method, target, headers, body, options)
-
     def is_reachable(self):
         """Return whether the server accepts a new connection."""
         try:
@@ -130,7 +114,11 @@
                 "repeat the call only if it is idempotent"
             ) from error
         except (OSError, http.client.HTTPException) as error:
-            raise self._exchange_error(error, connection.is_reused) from error
+            kind = "a kept" if connection.is_reused else "a new"
+            raise CallOutcomeUnknownError(
+                f"the exchange with {self.address} on {kind} connection broke: "
+                f"{error!r}; repeat the call only if it is idempotent"
+            ) from error
         finally:
             if not is_clean:
                 connection.close()
@@ -176,17 +164,6 @@
             "repeat the call only if it is idempotent"
         )
 
-    def _exchange_error(self, error, is_reused):
-        kind = CallOutcomeUnknownError
-        if is_reused and isinstance(
-            error, http.client.RemoteDisconnected | ConnectionError
-        ):
-            kind = ReusedConnectionClosedError
-        return kind(
-            f"the exchange with {self.address} broke: {error!r}; "
-            "repeat the call only if it is idempotent"
-        )
-
     def _put_back(self, connection, answer):
         connection.reset_unread_timeout()
         connection.is_reused = True
