Log each repeat of a call, and each that the budget refuses

The logs told that an attempt had failed, but not whether the call was sent again or why not. call-repeated and call-not-repeated do, bounded like all events, and a metric counts the retries taken.

--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -100,6 +100,10 @@
             "Calls with different content that are refused, as servers crashed",
             lambda: node.quarantine.count_calls(QUARANTINE_CRASHES),
         ),
+        "rattanworks_repeated_calls": (
+            "Calls sent to one more backend server since start, under the retry budget",
+            lambda: node.retry_budget.taken,
+        ),
         "rattanworks_running_moves": (
             "Moves that run, as far as this node knows",
             lambda: _count_running_moves(node.services),
--- a/rattanworks/routing/retries.py
+++ b/rattanworks/routing/retries.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from rattanworks.model.call import Outcome
+from rattanworks.utils.logging import log_event
 
 RETRIABLE_REFUSAL_STATUSES = frozenset({502, 503})
 MIN_SERVER_ERROR_STATUS = 500
@@ -46,7 +47,7 @@
     Load pattern: a service fails most calls, and every entry retries each of
     them at once. With a bucket for each service, one that fails does not use up
     the retries of another. ``count_entries()`` returns the number of entries that
-    share the ``mesh_burst``.
+    share the ``mesh_burst``; ``taken`` counts the retries taken so far.
     """
 
     def __init__(self, clock, settings=None, count_entries=lambda: 1):
@@ -55,6 +56,7 @@
         self._count_entries = count_entries
         self._lock = threading.Lock()
         self._buckets_by_service = {}
+        self.taken = 0
 
     def count_call(self, service, repeat_share=0.0):
         """Add the share of one call to the budget; called for the first attempt.
@@ -76,6 +78,7 @@
             if bucket.tokens < 1.0:
                 return False
             bucket.tokens -= 1.0
+            self.taken += 1
             return True
 
     def _refilled(self, service):
@@ -119,8 +122,34 @@
             return True
         has_run = attempt.answer.outcome != Outcome.NOT_RUN
         if has_run and not self._failures.may_repeat(call.service):
+            _log_not_repeated(call, "too many calls of the service fail")
             return False
-        return self._budget.take(call.service)
+        return self.take_repeat(call, attempt.answer.reason)
+
+    def take_repeat(self, call, reason):
+        """Take a retry from the budget for a call that a server was sent before.
+
+        Return whether there was one. ``reason`` says why the call is sent again.
+        """
+        if not self._budget.take(call.service):
+            _log_not_repeated(call, "the retry budget is spent")
+            return False
+        log_event(
+            "call-repeated",
+            request_id=call.request_id,
+            service=call.service,
+            reason=reason,
+        )
+        return True
+
+
+def _log_not_repeated(call, reason):
+    log_event(
+        "call-not-repeated",
+        request_id=call.request_id,
+        service=call.service,
+        reason=reason,
+    )
 
 
 def is_failed(answer):
