Take a retry for a call that goes to the old version after a server refused it

Backend servers of a service in a move could get each call twice.

Cause: the fallback to the old version is free of the budget, as the nodes of a version that was taken back refuse unsent; it was as free for a call that a server had got and refused.

The new test fails before: 200 arrivals of 100 calls, with 130 allowed.

--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -261,9 +261,10 @@
         is_refused = answer.outcome == Outcome.NOT_RUN and is_retriable(call, answer)
         if fallback is None or not is_refused or self._is_expired_or_abandoned(call):
             return answer
-        # Endpoints of a version that was taken back (rolled back) refuse all calls.
-        # Unlike a retry of a busy endpoint, the fallback needs no retry budget; it
-        # is done once.
+        # The nodes of a version that was taken back (rolled back) refuse all calls
+        # unsent, which needs no retry budget.
+        if attempts.is_sent and not self._policy.take_repeat(call, answer.reason):
+            return answer
         return self._run(replace(call, version=fallback), target, may_retry, attempts)
 
     def _run(self, call, target, may_retry, attempts):
--- a/rattanworks/tests/routing/honesty_tests.py
+++ b/rattanworks/tests/routing/honesty_tests.py
@@ -33,14 +33,18 @@
         return step
 
 
-def entry_with(peer_calls, ledger=None, lists=None):
+def entry_with(peer_calls, ledger=None, lists=None, records=None, state=None):
+    """Return an Entry with the endpoints ``records`` and the state of their service."""
     clock = FakeClock()
-    records = [build_record(f"node-{number}") for number in range(3)]
+    records = records or [build_record(f"node-{number}") for number in range(3)]
     table = PrecedenceTable(lambda record: record.node)
     members = types.SimpleNamespace(
         by_node={record.node: record for record in records}, table=table
     )
-    tables = build_tables(members, PrecedenceTable(lambda row: row), lists)
+    services = PrecedenceTable(lambda row: row.service)
+    if state is not None:
+        services.merge((state,))
+    tables = build_tables(members, services, lists)
     owner = types.SimpleNamespace(owns=lambda record: False, repeat_share=0.0)
     chooser = EndpointChooser(HostSettings("entry", "qc-est", "qc-est-a"), clock)
     return Entry(tables, chooser, owner, peer_calls, ledger, clock)
--- a/rattanworks/tests/routing/retries_tests.py
+++ b/rattanworks/tests/routing/retries_tests.py
@@ -1,12 +1,14 @@
 import unittest
+from dataclasses import replace
 
 from rattanworks.adapters.http_backend import HttpBackendServer
 from rattanworks.admission.waiting import NO_OBJECTIVE
 from rattanworks.exceptions import CallNotSentError
 from rattanworks.model.call import Answer, Outcome, refusal, unknown_outcome
+from rattanworks.model.service import Move, ServiceState
 from rattanworks.routing.entry import CallerRequest
 from rattanworks.routing.retries import RetryBudget, RetrySettings, is_retriable
-from rattanworks.tests.builders import build_call, lists_with_route
+from rattanworks.tests.builders import build_call, build_record, lists_with_route
 from rattanworks.tests.fakes import FakeClock, FakePeerCalls
 from rattanworks.tests.routing.honesty_tests import ScriptedPeerCalls, entry_with
 from rattanworks.tests.servers import ScriptedServer, raw_answer
@@ -148,6 +150,31 @@
         self.assertEqual(answer.retry_after, 2.0)
 
 
+class FallbackTests(unittest.TestCase):
+    """A version of which all calls go to one endpoint refuses them."""
+
+    def count_dispatched(self, refused, calls):
+        peer_calls = ScriptedPeerCalls(*(calls * [refused, Answer(200)]))
+        move = Move("op", "v1", "v2", "ana", 0.0, 100.0, share=1.0)
+        entry = entry_with(
+            peer_calls,
+            records=[build_record(), build_record("node-2", version="v2")],
+            state=ServiceState("catalogue", 2, "v1", move),
+        )
+        for _ in range(calls):
+            entry.handle(request())
+        return len(peer_calls.dispatched)
+
+    def test_a_call_that_nodes_refuse_unsent_goes_to_the_old_version(self):
+        self.assertEqual(self.count_dispatched(BUSY, 100), 200)
+
+    def test_a_call_that_servers_refuse_goes_there_within_the_retry_budget(self):
+        refused = replace(BUSY, is_offered=True)
+        settings = RetrySettings()
+        most = 100 + settings.share * 100 + settings.burst
+        self.assertLessEqual(self.count_dispatched(refused, 100), most)
+
+
 class _BackendCalls(FakePeerCalls):
     """Runs the calls of each node on a backend server of its own."""
 
