Report a call that another instance got as sent

A call that a server refuses as another instance (421) has arrived at it, and the users count it. The error was a kind of "not sent", so that the repeat took nothing from the retry budget. The test's new check fails before.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -345,7 +345,8 @@
             answer = backend.run(call)
         except CallMisdirectedError as error:
             self._handle_replaced_server(backend)
-            return refusal(503, str(error), LEAVING_RETRY_AFTER_SECONDS)
+            refused = refusal(503, str(error), LEAVING_RETRY_AFTER_SECONDS)
+            return replace(refused, is_offered=True)
         except CallNotSentError as error:
             self._handle_send_failure(backend)
             return refusal(503, str(error), LEAVING_RETRY_AFTER_SECONDS)
--- a/rattanworks/exceptions.py
+++ b/rattanworks/exceptions.py
@@ -124,8 +124,8 @@
     """No byte of the call reached the other side: it did not run."""
 
 
-class CallMisdirectedError(CallNotSentError):
-    """The address now belongs to another backend server, which did not run the call."""
+class CallMisdirectedError(RattanworksError):
+    """Another server has the address now; it got the call and did not run it."""
 
 
 class CallOutcomeUnknownError(RattanworksError):
--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -333,5 +333,7 @@
             held = self.start_calls(executor, 1)
             answer = self.dispatch(request_id="failing", customer="guest")
             self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+            # It was sent, so that a repeat is for the retry budget.
+            self.assertTrue(answer.is_offered)
             self.assertEqual(self.members.own.state, EndpointState.LEAVING)
             self.assert_answered(held)
