Wait until a stopped server has closed its listener before ending its threads

Cause: the thread that reads accepts connections until it carries out the order to stop listening. The stop gave that order, saw no connection, and ended the threads for requests beneath it.

Ruled out: that another process had got the port (the node has the other end), and that the thread that reads was stuck (its stack was in poll).

The new test fails before without the soak.

--- a/rattanworks/node/daemon.py
+++ b/rattanworks/node/daemon.py
@@ -268,10 +268,10 @@
         self._serve_until_idle(plan)
         callers.drain()
         close_deadline = min(plan.cut_calls_at, time.monotonic() + DRAIN_QUIET_SECONDS)
-        while callers.has_connections and time.monotonic() < close_deadline:
+        while not callers.is_closed and time.monotonic() < close_deadline:
             time.sleep(DRAIN_POLL_SECONDS)
         # A connection left open could deliver a request until the calls are cut.
-        while callers.has_connections and time.monotonic() < plan.cut_calls_at:
+        while not callers.is_closed and time.monotonic() < plan.cut_calls_at:
             callers.close_idle_connections()
             time.sleep(DRAIN_POLL_SECONDS)
         # Wait for calls that began meanwhile, such as those of the backend server.
--- a/rattanworks/tests/utils/http_server_tests.py
+++ b/rattanworks/tests/utils/http_server_tests.py
@@ -6,11 +6,13 @@
 
 from rattanworks.bench.fleet import wait_until
 from rattanworks.tests.servers import exchange_raw
-from rattanworks.utils import http_parts
+from rattanworks.utils import http_parts, http_server
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.wsgi import Response, path_of, respond
 
 LIMIT_SECONDS = 30.0
+# Long enough for a stop that waits for nothing to end.
+NOT_ENDED_SECONDS = 0.5
 MALFORMED_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n"
 
 
@@ -30,9 +32,9 @@
             self.release.wait(LIMIT_SECONDS)
         return respond(start_response, Response(200, b"whole"))
 
-    def connect(self):
+    def connect(self, server=None):
         connection = http.client.HTTPConnection(
-            self.server.address, timeout=LIMIT_SECONDS
+            (server or self.server).address, timeout=LIMIT_SECONDS
         )
         self.addCleanup(connection.close)
         return connection
@@ -103,6 +105,32 @@
         self.assertEqual(call.kwargs["request_id"], "r-cut")
         self.assertEqual(call.kwargs["reason"], "stopped")
 
+    def test_a_connection_accepted_as_the_server_stops_is_not_left_open(self):
+        accepting, accept = threading.Event(), threading.Event()
+        self.addCleanup(accept.set)
+        server = HttpServer(self.app, "127.0.0.1", 0, 4, 1024, "stopped")
+        handle_accept = server._server.handle_accept
+
+        def accept_late():
+            accepting.set()
+            accept.wait(LIMIT_SECONDS)
+            handle_accept()
+
+        server._server.handle_accept = accept_late
+        server.start()
+        with unittest.mock.patch.object(http_server, "STOP_SECONDS", LIMIT_SECONDS):
+            connection = self.connect(server)
+            connection.request("GET", "/late")
+            self.assertTrue(accepting.wait(LIMIT_SECONDS))
+            stop = threading.Thread(target=server.stop)
+            stop.start()
+            stop.join(NOT_ENDED_SECONDS)
+            self.assertTrue(stop.is_alive())
+            accept.set()
+            stop.join(LIMIT_SECONDS)
+        with self.assertRaises(ConnectionError):
+            connection.getresponse()
+
     def test_a_caller_that_leaves_after_a_malformed_request_does_not_end_the_server(
         self,
     ):
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -177,6 +177,15 @@
         """Return whether any connection is open."""
         return bool(self._server.active_channels)
 
+    @property
+    def is_closed(self):
+        """Return whether no connection is open and none can be opened any more.
+
+        The thread that reads may accept a connection until it has stopped listening,
+        some time after it was told to.
+        """
+        return not self.is_listening and not self.has_connections
+
     def wait_until_idle(self, timeout):
         """Wait up to ``timeout`` seconds; return whether the server is idle."""
         return wait_until_idle(self, timeout)
@@ -190,7 +199,7 @@
         if self._thread.is_alive():
             self._server.trigger.pull_trigger(self._close_connections)
             deadline = time.monotonic() + STOP_SECONDS
-            while self.has_connections and time.monotonic() < deadline:
+            while not self.is_closed and time.monotonic() < deadline:
                 time.sleep(STOP_POLL_SECONDS)
         self._server.task_dispatcher.shutdown(timeout=STOP_SECONDS)
         self._server.close()
