Add connections of the frame server and begin its stop under one lock

A thread of the listener between nodes ended with "Bad file descriptor" as a server stopped, seen in two whole runs of the tests; callers saw nothing.

Cause: a thread found the server not stopped, the stop closed the connection that it had just put back, and the thread armed the closed descriptor. A connection accepted in such a moment was left open.

--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -214,16 +214,18 @@
             return is_surplus
 
     def _accept(self):
-        try:
-            sock, _ = self._listener.accept()
-        except OSError:
-            return
-        finally:
+        connection = None
+        with contextlib.suppress(OSError):
+            connection = FrameConnection(self._listener.accept()[0])
+        with self._lock:
             if not self._is_stopped:
                 self._epoll.modify(self._listener.fileno(), ARMED)
-        connection = FrameConnection(sock)
-        self._idle_by_descriptor[connection.descriptor] = connection
-        self._epoll.register(connection.descriptor, ARMED)
+                if connection is not None:
+                    self._idle_by_descriptor[connection.descriptor] = connection
+                    self._epoll.register(connection.descriptor, ARMED)
+                return
+        if connection is not None:
+            connection.close()
 
     def _handle(self, descriptor):
         # Only the thread that removes an idle connection here may use or close it.
@@ -248,10 +250,11 @@
             self._rearm_or_close(descriptor, connection, is_kept)
 
     def _rearm_or_close(self, descriptor, connection, is_kept):
-        if is_kept and not self._is_stopped:
-            self._idle_by_descriptor[descriptor] = connection
-            self._epoll.modify(descriptor, ARMED)
-            return
+        with self._lock:
+            if is_kept and not self._is_stopped:
+                self._idle_by_descriptor[descriptor] = connection
+                self._epoll.modify(descriptor, ARMED)
+                return
         connection.close()
 
     @property
@@ -271,9 +274,11 @@
 
     def stop(self):
         """Close every idle connection and end the threads."""
-        self._is_stopped = True
+        # From now on no thread adds a connection.
+        with self._lock:
+            self._is_stopped = True
+            self._listener.close()
         self._waker.send(b"\0")
-        self._listener.close()
         # Another thread may remove a connection while this loop runs.
         for descriptor in list(self._idle_by_descriptor):
             connection = self._idle_by_descriptor.pop(descriptor, None)
