Do not send a call whose caller left while it waited in the queue

Cause: the owner asked whether the caller had gone only while it waited for the answer, after it had sent the call.

The new test fails before.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -333,6 +333,8 @@
         left = time_left.seconds()
         if left <= 0:
             return refusal(504, "the deadline passed before the call was sent")
+        if call.is_abandoned():
+            return refusal(504, "the caller left before the call was sent")
         if not call.is_trial and self._quarantine.is_held(call.fingerprint):
             # Its server has crashed while this call was waiting.
             return refusal(503, QUARANTINED, FIRST_DELAY_SECONDS)
--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -259,7 +259,8 @@
         super().setUp()
         self.gate, self.error = threading.Event(), None
         self.addCleanup(self.gate.set)
-        self.attach(FakeBackendServer(self.hold), slots=2)
+        self.backend = FakeBackendServer(self.hold)
+        self.attach(slots=2)
 
     def hold(self, call):
         if call.request_id == "failing":
@@ -327,6 +328,23 @@
     def test_a_server_with_fewer_slots(self):
         self.assert_calls_finish(self.reduce_slots, waiter_runs=True)
 
+    def test_a_call_whose_caller_left_while_it_waited_is_not_sent(self):
+        has_left = threading.Event()
+        with ThreadPoolExecutor(3) as executor:
+            held = self.start_calls(executor, 2)
+            waiter = executor.submit(
+                self.dispatch,
+                request_id="left",
+                customer="guest",
+                is_abandoned=has_left.is_set,
+            )
+            wait_until(lambda: self.owner.waiting, LIMIT_SECONDS, "queued")
+            has_left.set()
+            self.assert_answered(held)
+            answer = waiter.result(LIMIT_SECONDS)
+        self.assertEqual((answer.outcome, answer.is_offered), (Outcome.NOT_RUN, False))
+        self.assertNotIn("left", self.backend.runs)
+
     def test_a_server_that_says_it_is_another_instance(self):
         self.error = CallMisdirectedError("another instance")
         with ThreadPoolExecutor(1) as executor:
