Name the log lines and the metric of retries after what they count

call-repeated said that a call goes to another backend server, but it is logged when a retry is taken, before a server is chosen: with one server left the call is not sent again. retry-taken, retry-refused and rattanworks_retries_taken say what happened.

--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -100,8 +100,8 @@
             "Calls with different content that are refused, as servers crashed",
             lambda: node.quarantine.count_calls(QUARANTINE_CRASHES),
         ),
-        "rattanworks_repeated_calls": (
-            "Calls sent to one more backend server since start, under the retry budget",
+        "rattanworks_retries_taken": (
+            "Retries taken from the retry budget since start",
             lambda: node.retry_budget.taken,
         ),
         "rattanworks_running_moves": (
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -263,7 +263,7 @@
             return answer
         # The nodes of a version that was taken back (rolled back) refuse all calls
         # unsent, which needs no retry budget.
-        if attempts.is_sent and not self._policy.take_repeat(call, answer.reason):
+        if attempts.is_sent and not self._policy.take_retry(call, answer.reason):
             return answer
         return self._run(replace(call, version=fallback), target, may_retry, attempts)
 
--- a/rattanworks/routing/retries.py
+++ b/rattanworks/routing/retries.py
@@ -122,20 +122,20 @@
             return True
         has_run = attempt.answer.outcome != Outcome.NOT_RUN
         if has_run and not self._failures.may_repeat(call.service):
-            _log_not_repeated(call, "too many calls of the service fail")
+            _log_retry_refused(call, "too many calls of the service fail")
             return False
-        return self.take_repeat(call, attempt.answer.reason)
+        return self.take_retry(call, attempt.answer.reason)
 
-    def take_repeat(self, call, reason):
+    def take_retry(self, call, reason):
         """Take a retry from the budget for a call that a server was sent before.
 
-        Return whether there was one. ``reason`` says why the call is sent again.
+        Return whether there was one. ``reason`` says how the latest attempt ended.
         """
         if not self._budget.take(call.service):
-            _log_not_repeated(call, "the retry budget is spent")
+            _log_retry_refused(call, "the retry budget is spent")
             return False
         log_event(
-            "call-repeated",
+            "retry-taken",
             request_id=call.request_id,
             service=call.service,
             reason=reason,
@@ -143,9 +143,9 @@
         return True
 
 
-def _log_not_repeated(call, reason):
+def _log_retry_refused(call, reason):
     log_event(
-        "call-not-repeated",
+        "retry-refused",
         request_id=call.request_id,
         service=call.service,
         reason=reason,
