Accept a connection and put it back under one lock, with one check of the stop

The frame server's accept carried a connection that might be none through the lock and closed it afterwards. With the whole step under the lock the stop cannot come between, so that this case is gone.

--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -214,18 +214,18 @@
             return is_surplus
 
     def _accept(self):
-        connection = None
-        with contextlib.suppress(OSError):
-            connection = FrameConnection(self._listener.accept()[0])
         with self._lock:
-            if not self._is_stopped:
-                self._epoll.modify(self._listener.fileno(), ARMED)
-                if connection is not None:
-                    self._idle_by_descriptor[connection.descriptor] = connection
-                    self._epoll.register(connection.descriptor, ARMED)
+            if self._is_stopped:
+                return
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
                 return
-        if connection is not None:
-            connection.close()
+            finally:
+                self._epoll.modify(self._listener.fileno(), ARMED)
+            connection = FrameConnection(sock)
+            self._idle_by_descriptor[connection.descriptor] = connection
+            self._epoll.register(connection.descriptor, ARMED)
 
     def _handle(self, descriptor):
         # Only the thread that removes an idle connection here may use or close it.
