Measure how long due work waits for the processor

No line or metric told a late thread from a late network.

No behaviour changes, and nothing is measured yet.

--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -23,6 +23,7 @@
 from rattanworks.ports.base import PeerCalls
 from rattanworks.utils.answer_limits import AnswerBounds, AnswerReservation, collect
 from rattanworks.utils.codec import DecodeError
+from rattanworks.utils.delays import ANSWER, TIMER, WorkDelays
 from rattanworks.utils.frames import connect_frames
 
 # A running host accepts within milliseconds; one without power never answers, and
@@ -49,23 +50,32 @@
     DeadlineExceededError or CallAbandonedError.
     """
 
-    def __init__(self, poll, clock, until, is_abandoned=return_false):
+    def __init__(self, poll, clock, until, is_abandoned=return_false, delays=None):
         self._poll = poll
         self._clock = clock
         self._until = until
         self._is_abandoned = is_abandoned
+        self._delays = delays or WorkDelays()
         self._next_check = 0.0
         self._reads = 0
 
     def __call__(self):
         """Return when the connection can be read, or written."""
-        while not self._poll(self._seconds_to_next_check()):
+        while not self._wait_once():
             self._check_deadline(self._clock.monotonic())
             self._check_abandoned()
         self._reads += 1
         if self._reads > READS_OF_SHORT_ANSWER:
             self._check_during_transfer()
 
+    def _wait_once(self):
+        seconds = max(0.0, self._seconds_to_next_check())
+        due = self._clock.monotonic() + seconds
+        is_ready = self._poll(seconds)
+        if not is_ready:
+            self._delays.record(TIMER, self._clock.monotonic() - due)
+        return is_ready
+
     def _check_during_transfer(self):
         now = self._clock.monotonic()
         self._check_deadline(now)
@@ -90,7 +100,8 @@
 
     ``failure_domain`` is this node's, empty when it is not known; sending bodies
     within it costs little. ``bounds`` are the AnswerBounds of owners' answers.
-    ``connect_seconds`` limits the time until a new connection may be used.
+    ``connect_seconds`` limits the time until a new connection may be used. ``delays``
+    records how late answers and ends of waits are handled.
     """
 
     def __init__(
@@ -100,8 +111,10 @@
         failure_domain="",
         bounds=None,
         connect_seconds=CONNECT_SECONDS,
+        delays=None,
     ):
         self._sender = sender
+        self._delays = delays or WorkDelays()
         self._failure_domain = failure_domain
         self._clock = clock
         self._bounds = bounds or AnswerBounds()
@@ -179,14 +192,17 @@
                 f"the owner answered request {message.request_id}; "
                 "repeat the call only if it is idempotent"
             )
-        offset.add_sample(message.owner_time, self._clock.monotonic())
+        now = self._clock.monotonic()
+        offset.add_sample(message.owner_time, now)
+        delay = now - offset.to_own_time(message.owner_time)
+        self._delays.record(ANSWER, delay, call.request_id)
         if message.body_size:
             body = self._receive_body(connection, message.body_size, wait)
         return message, body
 
     def _deadline_wait(self, poll, call):
         until = call.deadline + ANSWER_GRACE_SECONDS
-        return DeadlineWait(poll, self._clock, until, call.is_abandoned)
+        return DeadlineWait(poll, self._clock, until, call.is_abandoned, self._delays)
 
     def _receive_body(self, connection, size, wait):
         reservation = AnswerReservation(self._bounds)
--- a/rattanworks/adapters/peer_clock.py
+++ b/rattanworks/adapters/peer_clock.py
@@ -51,3 +51,7 @@
         """Convert a time of this node's clock to the owner's clock, never too late."""
         drift = MAX_DRIFT * max(0.0, own_time - self._sampled_at)
         return own_time + self._offset - drift
+
+    def to_own_time(self, owner_time):
+        """Convert a time of the owner's clock to this node's, never too early."""
+        return owner_time - self._offset
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -62,7 +62,7 @@
 from rattanworks.moves.restoration import StateRestorer
 from rattanworks.node.adapters import Adapters
 from rattanworks.node.lifecycle import Lifecycle
-from rattanworks.node.metrics import MeteredEntry, add_gauges, new_registry
+from rattanworks.node.metrics import MeteredEntry, add_gauges, new_delays, new_registry
 from rattanworks.ports.base import Store
 from rattanworks.quarantine.breaker import CallQuarantine, build_quarantine
 from rattanworks.roles.base import FAST_TIMING, LeasedRole
@@ -72,6 +72,7 @@
 from rattanworks.routing.retries import RetryBudget
 from rattanworks.routing.table import RoutingTables
 from rattanworks.utils.answer_limits import AnswerBounds
+from rattanworks.utils.delays import WorkDelays
 from rattanworks.utils.frames import FrameServer
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.logging import log_event
@@ -112,6 +113,7 @@
     presence: Presence
     claims: RoutedClaims
     registry: CollectorRegistry
+    delays: WorkDelays
     entry: MeteredEntry
     retry_budget: RetryBudget
     quarantine: CallQuarantine
@@ -218,8 +220,14 @@
         members, services, store, peers, clock, evidence, settings.moves
     )
     answer_bounds = _answer_bounds(settings.traffic)
+    registry = new_registry()
+    delays = new_delays(registry)
     peer_calls = FramePeerCalls(
-        settings.host.name, clock, settings.host.failure_domain, answer_bounds
+        settings.host.name,
+        clock,
+        settings.host.failure_domain,
+        answer_bounds,
+        delays=delays,
     )
     if injector:
         peer_calls = FaultyPeerCalls(peer_calls, injector, clock)
@@ -236,7 +244,6 @@
         quarantine=quarantine,
     )
     entry.observer = evidence
-    registry = new_registry()
     node = Node(
         settings=settings,
         adapters=adapters,
@@ -258,6 +265,7 @@
         presence=None,
         claims=claims,
         registry=registry,
+        delays=delays,
         entry=MeteredEntry(entry, registry, clock),
         retry_budget=retry_budget,
         quarantine=quarantine,
@@ -347,7 +355,9 @@
     budget = node.answer_bounds.budget
 
     def new_server(app, port, threads, max_body_bytes, name):
-        return HttpServer(app, listen.host, port, threads, max_body_bytes, name, budget)
+        return HttpServer(
+            app, listen.host, port, threads, max_body_bytes, name, budget, node.delays
+        )
 
     servers = {
         "callers": new_server(
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -5,6 +5,7 @@
 
 from rattanworks.model.service import MoveStatus
 from rattanworks.quarantine.breaker import QUARANTINE_CRASHES
+from rattanworks.utils.delays import ANSWER, REQUEST, TIMER, WorkDelays
 
 CALL_SECONDS_BUCKETS = (
     *(0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1),
@@ -19,6 +20,19 @@
     return registry
 
 
+def new_delays(registry):
+    """Return WorkDelays that a registry shows as one histogram by kind."""
+    histogram = Histogram(
+        "rattanworks_work_delay_seconds",
+        "Seconds from when work was due to when a thread handled it",
+        ("kind",),
+        buckets=CALL_SECONDS_BUCKETS,
+        registry=registry,
+    )
+    kinds = (REQUEST, ANSWER, TIMER)
+    return WorkDelays({kind: histogram.labels(kind).observe for kind in kinds})
+
+
 class MeteredEntry:
     """Wraps an Entry; counts its calls and measures how long they take."""
 
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -11,6 +11,7 @@
 from waitress.utilities import Error
 
 from rattanworks.utils.answer_limits import LARGE_BODY_BYTES, RESERVATION_STEP_BYTES
+from rattanworks.utils.delays import REQUEST, WorkDelays
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import Reservation
 from rattanworks.utils.sockets import is_closed_by_peer
@@ -69,8 +70,8 @@
     """Reserves memory for large bodies.
 
     A body of known length is reserved whole before it arrives, a chunked one in
-    steps. ``received_at`` is the monotonic time of the first byte,
-    ``head_timed_since`` the start of the time limit for the head.
+    steps. ``received_at`` and ``completed_at`` are the monotonic times of the first
+    and the last byte, ``head_timed_since`` the start of the time limit for the head.
     """
 
     budget = None
@@ -81,6 +82,7 @@
         # A copy, since the limits may change while the request arrives.
         super().__init__(ParserSettings.of(adj))
         self.received_at = self.head_timed_since = time.monotonic()
+        self.completed_at = self.received_at
         # Waitress does not close a request whose connection ends during its body:
         # then the reservation is released with the parser.
         self._reservation = Reservation(self.budget)
@@ -92,6 +94,8 @@
             self.error = BusyError("too many large bodies at once: ask again later")
             self.expect_continue = False
             self.completed = True
+        if self.completed:
+            self.completed_at = time.monotonic()
         return consumed
 
     def _reserve_enough(self):
@@ -172,6 +176,7 @@
     """
 
     budget = None
+    delays = WorkDelays()
     # Id of the latest request that was served, for the log.
     served_request_id = ""
 
@@ -184,7 +189,10 @@
 
         Making room closes connections, which only the thread that reads may do.
         """
-        self.served_request_id = self.requests[0].headers.get(REQUEST_ID_FIELD, "")
+        request = self.requests[0]
+        self.served_request_id = request.headers.get(REQUEST_ID_FIELD, "")
+        delay = time.monotonic() - request.completed_at
+        self.delays.record(REQUEST, delay, self.served_request_id)
         super().service()
         if not self._has_room():
             self.server.trigger.pull_trigger(self._make_room)
@@ -266,7 +274,13 @@
         super().handle_close()
 
 
-def channel_class(budget):
-    """Return a channel class whose bodies and unsent answers fit into ``budget``."""
+def channel_class(budget, delays=None):
+    """Return a channel class whose bodies and unsent answers fit into ``budget``.
+
+    ``delays``, WorkDelays or None, records how late requests are handled.
+    """
     parser = type("Parser", (BoundedRequestParser,), {"budget": budget})
-    return type("Channel", (LoggedChannel,), {"parser_class": parser, "budget": budget})
+    attributes = {"parser_class": parser, "budget": budget}
+    if delays is not None:
+        attributes["delays"] = delays
+    return type("Channel", (LoggedChannel,), attributes)
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -31,10 +31,21 @@
 
     Requests run on up to ``threads`` threads, which start on demand. Bodies stay in
     memory: hosts have no disk. ``max_body_bytes`` limits each, ``budget`` (a
-    MemoryBudget or None) all large ones together.
+    MemoryBudget or None) all large ones together. ``delays``, WorkDelays or None,
+    records how late requests are handled.
     """
 
-    def __init__(self, app, host, port, threads, max_body_bytes, name, budget=None):
+    def __init__(
+        self,
+        app,
+        host,
+        port,
+        threads,
+        max_body_bytes,
+        name,
+        budget=None,
+        delays=None,
+    ):
         self._server = waitress.create_server(
             app,
             host=host,
@@ -56,7 +67,7 @@
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=False,
         )
-        self._server.channel_class = channel_class(budget)
+        self._server.channel_class = channel_class(budget, delays)
         self._server.is_draining = False
         self._server.maintenance = self._maintain
         self._max_body_bytes = max_body_bytes
