Let an event of the callers' listener cost no look at every connection

Callers saw answers seconds after the server had given them. The loop of wasyncore asks every open connection before each wait whether it is to be read or written, and each request caused two or three rounds. An exchange beside 1,000 idle connections then took 5.1 core-ms (0.55 beside 10); a host with 0.86 of a core was busy with that alone, its callers gave up and tried again.

http_loop_tests fails before: 200 exchanges beside 50 idle connections look at them over 10,000 times.

--- /dev/null
+++ b/rattanworks/tests/utils/http_loop_tests.py
@@ -0,0 +1,89 @@
+import http.client
+import socket
+import unittest
+
+from rattanworks.bench.fleet import wait_until
+from rattanworks.utils.http_server import HttpServer
+from rattanworks.utils.sockets import split_address
+from rattanworks.utils.wsgi import Response, respond
+
+LIMIT_SECONDS = 30.0
+IDLE_CONNECTIONS = 50
+EXCHANGES = 200
+LARGE_BODY = b"x" * (8 * 1024 * 1024)
+
+
+class HttpLoopTests(unittest.TestCase):
+    def setUp(self):
+        self.server = self.start_server()
+        self.addCleanup(self.server.stop)
+
+    def start_server(self):
+        server = HttpServer(self.app, "127.0.0.1", 0, 4, 1024, "loop")
+        server.start()
+        return server
+
+    def app(self, environ, start_response):
+        body = LARGE_BODY if environ["PATH_INFO"] == "/large" else b"whole"
+        return respond(start_response, Response(200, body))
+
+    def open_connection(self, server=None):
+        address = split_address((server or self.server).address)
+        sock = socket.create_connection(address, LIMIT_SECONDS)
+        self.addCleanup(sock.close)
+        return sock
+
+    def open_idle_connections(self):
+        for _ in range(IDLE_CONNECTIONS):
+            self.open_connection()
+        wait_until(
+            lambda: len(self.server._server.active_channels) == IDLE_CONNECTIONS,
+            LIMIT_SECONDS,
+            "all are accepted",
+        )
+
+    def connect(self):
+        connection = http.client.HTTPConnection(
+            self.server.address, timeout=LIMIT_SECONDS
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    def exchange(self, connection, path="/"):
+        connection.request("GET", path)
+        return connection.getresponse().read()
+
+    def test_callers_held_as_each_event_costs_a_look_at_every_connection(self):
+        # Idle connections used up the processor that answers were waiting for.
+        looks = []
+
+        class CountingChannel(self.server._server.channel_class):
+            def readable(self):
+                looks.append(self)
+                return super().readable()
+
+        self.server._server.channel_class = CountingChannel
+        self.open_idle_connections()
+        connection = self.connect()
+        self.exchange(connection)
+        looks.clear()
+        for _ in range(EXCHANGES):
+            self.assertEqual(self.exchange(connection), b"whole")
+        self.assertLess(len(looks), EXCHANGES * IDLE_CONNECTIONS / 2)
+
+    def test_an_answer_that_does_not_fit_at_once_is_sent_to_its_end(self):
+        self.assertEqual(self.exchange(self.connect(), "/large"), LARGE_BODY)
+
+    def test_a_descriptor_that_is_used_again_belongs_to_the_new_connection(self):
+        for _ in range(EXCHANGES):
+            connection = self.connect()
+            self.assertEqual(self.exchange(connection), b"whole")
+            connection.close()
+
+    def test_connections_are_closed_when_the_server_stops(self):
+        server = self.start_server()
+        sock = self.open_connection(server)
+        wait_until(lambda: server.has_connections, LIMIT_SECONDS, "accepted")
+        server.stop()
+        self.assertEqual(sock.recv(1), b"")
+        self.assertFalse(server.has_connections)
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -196,6 +196,19 @@
         super().service()
         if not self._has_room():
             self.server.trigger.pull_trigger(self._make_room)
+        self._wake_loop()
+
+    def write_soon(self, data):
+        """Write a part of an answer."""
+        size = super().write_soon(data)
+        self._wake_loop()
+        return size
+
+    def _wake_loop(self):
+        """Let the thread that reads do what this one cannot: send the rest, close."""
+        if self.server.loop.is_changed(self):
+            self.server.loop.mark_changed(self)
+            self.server.trigger.pull_trigger()
 
     def _has_room(self):
         with self.outbuf_lock:
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -9,6 +9,7 @@
 
 from rattanworks.model.route import DEFAULT_LIMITS
 from rattanworks.utils.http_connection import has_input
+from rattanworks.utils.http_loop import HttpLoop
 from rattanworks.utils.http_parts import channel_class
 from rattanworks.utils.idle import wait_until_idle
 from rattanworks.utils.thread_pool import OnDemandPool
@@ -46,8 +47,10 @@
         budget=None,
         delays=None,
     ):
+        self._loop = HttpLoop()
         self._server = waitress.create_server(
             app,
+            map=self._loop,
             host=host,
             port=port,
             threads=threads,
@@ -64,12 +67,14 @@
             # Lets a running request notice that its caller has disconnected.
             channel_request_lookahead=1,
             cleanup_interval=CLEANUP_SECONDS,
-            asyncore_use_poll=True,
             clear_untrusted_proxy_headers=False,
         )
         self._server.channel_class = channel_class(budget, delays)
         self._server.is_draining = False
         self._server.maintenance = self._maintain
+        self._server.loop = self._loop
+        # Waitress wakes the loop after each request; here a channel does if needed.
+        self._server.pull_trigger = _do_nothing
         self._max_body_bytes = max_body_bytes
         self._header_seconds = DEFAULT_LIMITS.header_seconds
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
@@ -107,12 +112,13 @@
             elif request.head_timed_since < oldest:
                 channel.close_reason = "head-overdue"
                 channel.will_close = True
+        self._loop.refresh_all()
 
     def _run(self):
         try:
-            self._server.run()
+            self._loop.run(self._server)
         except (OSError, ValueError):
-            # Closing the server changes the socket map while the loop uses it.
+            # Closing the server closes descriptors while the loop uses them.
             return
 
     def close_after_answers(self):
@@ -216,5 +222,9 @@
         self._server.close()
 
 
+def _do_nothing():
+    """Leave the loop asleep."""
+
+
 def _is_busy(channel):
     return bool(channel.requests or channel.request or channel.total_outbufs_len)
