Do not send a call whose server has left since the call got its slot

Found by reading: the owner asked whether its server still serves before a call waited for a slot, and not again. A thread that got its slot, and ran only seconds later on a host without processor time, sent its call to a server whose leaving had been acknowledged meanwhile (DRAIN).

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -256,17 +256,19 @@
         refused = self.observer.refusal(call) if self.observer else None
         if refused is not None:
             return refused
-        return self._admit(call, self._slot_queue, self._backend, own)
+        with self._lock:
+            slot_queue, server = self._slot_queue, (self._backend, self._announcement)
+        return self._admit(call, slot_queue, server, own)
 
-    def _admit(self, call, slot_queue, backend, own):
+    def _admit(self, call, slot_queue, server, own):
         use = self._service_use(call)
         is_beyond_plan = not self._is_within_plan(call, use, own)
-        answer = self._run_in_slot(call, slot_queue, backend, is_beyond_plan)
+        answer = self._run_in_slot(call, slot_queue, server, is_beyond_plan)
         if answer.outcome == Outcome.NOT_RUN and use and not is_beyond_plan:
             self._limits.refund(call.customer, use)
         return answer
 
-    def _run_in_slot(self, call, slot_queue, backend, is_beyond_plan):
+    def _run_in_slot(self, call, slot_queue, server, is_beyond_plan):
         time_left = TimeLeft(self._clock, call.deadline)
         expected_seconds = self._run_seconds.get(call.route, 0.0)
         rank = Rank.of(call, expected_seconds, is_beyond_plan)
@@ -287,7 +289,7 @@
             load = slot_queue.load_ahead(rank, arrived_at)
             return self._refusal(call, admission, is_beyond_plan, load)
         try:
-            answer = self._run_observed(call, backend, time_left)
+            answer = self._run_observed(call, server, time_left)
             if answer.notice is not None:
                 self._apply_notice(slot_queue, answer.notice, call.request_id)
         finally:
@@ -319,9 +321,9 @@
         owners = len(target.endpoints(own.version)) / share
         return self._limits.admit(call.customer, use, owners)
 
-    def _run_observed(self, call, backend, time_left):
+    def _run_observed(self, call, server, time_left):
         started = self._clock.monotonic()
-        answer = self._run(call, backend, time_left)
+        answer = self._run(call, *server, time_left)
         seconds = self._clock.monotonic() - started
         if answer.outcome == Outcome.DONE:
             self._run_seconds.add(call.route, seconds)
@@ -329,7 +331,7 @@
             self.observer.observe(call, answer, seconds)
         return answer
 
-    def _run(self, call, backend, time_left):
+    def _run(self, call, backend, announcement, time_left):
         left = time_left.seconds()
         if left <= 0:
             return refusal(504, "the deadline passed before the call was sent")
@@ -338,11 +340,13 @@
         if not call.is_trial and self._quarantine.is_held(call.fingerprint):
             # Its server has crashed while this call was waiting.
             return refusal(503, QUARANTINED, FIRST_DELAY_SECONDS)
+        if announcement.identity == self._left_identity:
+            # The server has left since the call got its slot.
+            return refusal(503, "the endpoint is leaving", LEAVING_RETRY_AFTER_SECONDS)
         self._repeat_share = updated_mean(
             self._repeat_share, call.is_repeat, REPEAT_WEIGHT
         )
         call = replace(call, deadline=self._clock.monotonic() + left)
-        announcement = self._announcement
         try:
             answer = backend.run(call)
         except CallMisdirectedError as error:
--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -70,6 +70,29 @@
         self.dispatch()
         self.assertAlmostEqual(shares[0], 0.75)
 
+    def test_a_call_is_not_sent_if_its_server_leaves_after_the_call_got_its_slot(self):
+        # The thread of a call may get to run long after its slot was granted.
+        for leave in (self.owner.leave, self.leave_for_another):
+            with self.subTest(leave.__name__):
+                self.attach(instance=leave.__name__)
+                slot_queue = self.owner._slot_queue
+                acquire = slot_queue.acquire
+
+                def acquire_and_leave(*arguments, acquire=acquire, leave=leave, **rest):
+                    admission = acquire(*arguments, **rest)
+                    leave()
+                    return admission
+
+                slot_queue.acquire = acquire_and_leave
+                answer = self.dispatch()
+                self.assertEqual(answer.outcome, Outcome.NOT_RUN)
+                self.assertEqual(answer.status, 503)
+        self.assertEqual(self.backend.runs, [])
+
+    def leave_for_another(self):
+        self.owner.leave()
+        self.attach(FakeBackendServer(), instance="another")
+
     def test_refused_calls_are_reported_as_not_run_and_do_not_run(self):
         self.attach()
         for changes in ({"service": "orders"}, {"version": "v2"}, {"deadline": -1.0}):
