Answer an overdue call from the reading thread, not only from its own

Callers were held past their route's time-out: the limit was enforced only by the thread of the call, when it got to run. The thread that reads now answers 504 a tenth of a second after the deadline if no answer has begun, closes the connection and counts the call as abandoned; what the call's thread writes later is dropped, so that nothing follows the answer.

callers_tests.OverdueCallsTests fails before: no answer until the thread goes on.

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -5,10 +5,16 @@
 import threading
 import uuid
 
-from rattanworks.model.call import Outcome, refusal, return_false, return_true
-from rattanworks.routing.entry import CallerRequest
+from rattanworks.model.call import (
+    Outcome,
+    refusal,
+    return_false,
+    return_true,
+    unknown_outcome,
+)
+from rattanworks.routing.entry import CallerRequest, ignore_deadline
 from rattanworks.utils.headers import request_headers
-from rattanworks.utils.http_parts import HAS_LEFT_KEY, RECEIVED_AT_KEY
+from rattanworks.utils.http_parts import ANSWER_BY_KEY, HAS_LEFT_KEY, RECEIVED_AT_KEY
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.wsgi import (
     Response,
@@ -24,6 +30,9 @@
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 BUSY_RETRY_AFTER_SECONDS = 1.0
 RETRIES_KEY = "HTTP_X_RETRIES"
+# The thread of a call that ends at its deadline has this long to answer first. Longer
+# than the 0.05 s that it waits for an owner after the deadline.
+ANSWER_MARGIN_SECONDS = 0.1
 OUTER = "outer"
 REQUEST_ID = "X-Request-Id"
 
@@ -151,12 +160,28 @@
                     host=environ.get("HTTP_HOST", ""),
                     received_at=received_at,
                     call_deadline=functools.partial(self._call_deadline, received_at),
+                    answer_by=self._answerer(environ, request_id),
                 )
             )
         finally:
             if isinstance(body, memoryview):
                 body.release()
 
+    def _answerer(self, environ, request_id):
+        """Return the ``answer_by`` of a CallerRequest."""
+        answer_by = environ.get(ANSWER_BY_KEY)
+        if answer_by is None:
+            return ignore_deadline
+
+        def build_response():
+            answer = unknown_outcome(504, "no answer by the deadline")
+            headers = self._dialect.answer_headers(answer, request_id)
+            return Response(answer.status, headers=headers)
+
+        return lambda deadline: answer_by(
+            deadline + ANSWER_MARGIN_SECONDS, build_response
+        )
+
 
 def _abandonment_check(environ):
     if environ.get(HAS_LEFT_KEY, return_false)():
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -46,6 +46,10 @@
     return deadline
 
 
+def ignore_deadline(deadline):
+    """Leave the time of the answer to the call's own thread."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as a caller sent it; ``deadline`` is in monotonic seconds.
@@ -54,7 +58,8 @@
     route's timeout starts; 0 stands for now. ``has_outer_retries`` is set when an
     entry further out in the chain of calls retries, so that this one must not.
     ``call_deadline(deadline, objective)`` returns the deadline under which the node
-    accepts the call, None to refuse it.
+    accepts the call, None to refuse it. ``answer_by(deadline)`` makes sure that the
+    caller has an answer soon after the deadline, even if this call goes on.
     """
 
     request_id: str
@@ -71,6 +76,7 @@
     host: str = ""
     received_at: float = 0.0
     call_deadline: Callable[[float, float], float | None] = _keep_deadline
+    answer_by: Callable[[float], None] = ignore_deadline
 
 
 class Entry:
@@ -136,6 +142,7 @@
             )
         if deadline < call.deadline:
             call = replace(call, deadline=deadline)
+        request.answer_by(call.deadline)
         verdict = self._quarantine.check(call.fingerprint)
         if not verdict.may_run:
             return self._refuse_quarantined(call, verdict)
--- a/rattanworks/tests/adapters/callers_tests.py
+++ b/rattanworks/tests/adapters/callers_tests.py
@@ -243,3 +243,70 @@
         sock.close()
         while not self.entry.requests[0].is_abandoned():
             self.entry.release.wait(0.01)
+
+
+class OverdueCallsTests(unittest.TestCase):
+    """The thread of a call is held up: it waits for something, or for its turn."""
+
+    def setUp(self):
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+        self.returned = threading.Event()
+        self.abandoned = []
+        app = CallersApp(
+            self,
+            lambda received_at, deadline: deadline,
+            SystemClock(),
+            TIMEOUT_SECONDS,
+            4,
+        )
+        self.server = HttpServer(app, "127.0.0.1", 0, 6, MAX_BODY_BYTES, "callers")
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def handle(self, request):
+        """Return an answer long after the call's deadline; the app's entry."""
+        if request.path == "/prompt":
+            return Answer(200, body=b"whole")
+        request.answer_by(time.monotonic())
+        self.release.wait(TIMEOUT_SECONDS)
+        self.abandoned.append(request.is_abandoned())
+        self.returned.set()
+        if request.path == "/failing":
+            raise RuntimeError("the entry failed")
+        return Answer(200, body=b"late")
+
+    def exchange(self, path):
+        """Send a request while its thread is held up; return all that comes back."""
+        answer = exchange_raw(
+            self.server.address,
+            f"GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n".encode(),
+        )
+        self.assertFalse(self.returned.is_set())
+        return answer
+
+    def test_callers_held_past_their_time_out_as_only_the_calls_thread_keeps_it(self):
+        answer = self.exchange("/held")
+        self.assertIn(b" 504 ", answer.split(b"\r\n")[0])
+        self.assertIn(b"X-Request-Id: r1", answer)
+        self.assertIn(b"Connection: close", answer)
+        self.release.set()
+        self.assertTrue(self.returned.wait(TIMEOUT_SECONDS))
+        self.assertEqual(self.abandoned, [True])
+
+    def test_nothing_follows_the_answer_of_an_overdue_call(self):
+        for path in ("/held", "/failing"):
+            with self.subTest(path):
+                self.release.clear()
+                self.returned.clear()
+                answer = self.exchange(path)
+                self.release.set()
+                self.assertTrue(self.returned.wait(TIMEOUT_SECONDS))
+                self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+
+    def test_an_answer_in_time_leaves_the_connection_open(self):
+        caller = Caller(self.server.address, "shop")
+        self.addCleanup(caller.close)
+        for _ in range(3):
+            self.assertEqual(caller.send("GET", "/prompt").body, b"whole")
+        self.assertEqual(self.server._server.due_answers._by_key, {})
--- a/rattanworks/utils/http_loop.py
+++ b/rattanworks/utils/http_loop.py
@@ -10,7 +10,7 @@
 READ = select.EPOLLIN | select.EPOLLPRI
 WRITE = select.EPOLLOUT
 # Time after which the loop looks at the server at the latest.
-LOOP_SECONDS = 1.0
+LOOP_SECONDS = 0.5
 
 
 class HttpLoop(dict):
@@ -62,15 +62,20 @@
         for dispatcher in list(self.values()):
             self._refresh(dispatcher)
 
-    def run(self, server):
-        """Run until the map is empty; ``server`` is the listening dispatcher."""
+    def run(self, server, due_answers):
+        """Run until the map is empty; ``server`` is the listening dispatcher.
+
+        Gives the answers of ``due_answers`` that are due.
+        """
         while self:
             self._refresh(server)
             while self._changed:
                 self._refresh(self._changed.popleft())
             self._added.clear()
-            for descriptor, flags in self._epoll.poll(LOOP_SECONDS):
+            timeout = due_answers.seconds_to_next(LOOP_SECONDS)
+            for descriptor, flags in self._epoll.poll(timeout):
                 self._handle(descriptor, flags)
+            due_answers.run_due()
         self._epoll.close()
 
     def _handle(self, descriptor, flags):
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -1,11 +1,13 @@
 """Waitress parts: bodies within a memory budget, small answers in one write."""
 
 import contextlib
+import functools
 import operator
+import threading
 import time
 from dataclasses import dataclass
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import WSGITask
 from waitress.utilities import Error
@@ -15,6 +17,7 @@
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import Reservation
 from rattanworks.utils.sockets import is_closed_by_peer
+from rattanworks.utils.wsgi import encode_last_response
 
 MAX_JOINED_BYTES = 64 * 1024
 # Answers of which no more than this is unsent reserve nothing. All connections of a
@@ -26,6 +29,7 @@
 MAX_KEEP_ALIVE_CONNECTIONS = 1000
 HAS_LEFT_KEY = "rattanworks.has_left"
 RECEIVED_AT_KEY = "rattanworks.received_at"
+ANSWER_BY_KEY = "rattanworks.answer_by"
 # Key under which waitress stores the X-Request-Id header.
 REQUEST_ID_FIELD = "X_REQUEST_ID"
 
@@ -128,6 +132,7 @@
         environ = super().get_environment()
         environ[RECEIVED_AT_KEY] = self.request.received_at
         environ[HAS_LEFT_KEY] = self._has_disconnected
+        environ[ANSWER_BY_KEY] = functools.partial(self.channel.answer_by, self.request)
         return environ
 
     def _has_disconnected(self):
@@ -154,7 +159,6 @@
 
     def write(self, data):
         """Write a part of the body, preceded by the head if it is the first."""
-        self.channel.is_answering = True
         is_first = not self.wrote_header and self.complete
         is_plain = (
             self.content_length == len(data) and 0 < len(data) <= MAX_JOINED_BYTES
@@ -249,8 +253,8 @@
             self._unsent.release()
 
 
-class LoggedChannel(BoundedChannel):
-    """Logs each call that is unanswered when its connection closes.
+class TimedChannel(BoundedChannel):
+    """Answers calls that are overdue; logs each that is unanswered when it closes.
 
     The default ``close_reason`` mostly means that the caller disconnected; code
     that closes the channel for another reason sets it.
@@ -260,15 +264,62 @@
     close_reason = "socket-error"
     # Set when an answer begins: its request stays in ``requests`` until it is sent.
     is_answering = False
+    # Whether the thread that reads has answered in place of the one that serves.
+    is_answered_instead = False
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.opened_at = time.monotonic()
+        self._answer_lock = threading.Lock()
+
+    def answer_by(self, request, deadline, build_response):
+        """Answer with ``build_response()`` if no answer has begun by a monotonic time.
+
+        The thread that reads does so, whatever the one that serves waits for. The
+        answer closes the connection; a connection with a further request is left to
+        the thread that serves.
+        """
+        is_too_late = self.server.due_answers.add(
+            request,
+            deadline,
+            functools.partial(self._answer_instead, request, build_response),
+        )
+        if is_too_late:
+            self.server.trigger.pull_trigger()
+
+    def _answer_instead(self, request, build_response):
+        with self._answer_lock:
+            is_current = self.connected and self.requests == [request]
+            if self.is_answering or not is_current:
+                return
+            self.is_answering = self.is_answered_instead = True
+        log_event(
+            "call-overdue",
+            request_id=self.served_request_id,
+            path=request.path,
+            seconds=round(time.monotonic() - request.received_at, 3),
+        )
+        with contextlib.suppress(ClientDisconnected):
+            super().write_soon(encode_last_response(build_response()))
+        self.close_when_flushed = True
+        self._wake_loop()
+
+    def write_soon(self, data):
+        """Write a part of an answer, unless the request has been answered already."""
+        with self._answer_lock:
+            if self.is_answered_instead:
+                raise ClientDisconnected
+            self.is_answering = True
+        return super().write_soon(data)
 
     def service(self):
         """Serve the next request."""
         self.is_answering = False
-        super().service()
+        request = self.requests[0]
+        try:
+            super().service()
+        finally:
+            self.server.due_answers.discard(request)
 
     def handle_close(self):
         """Close the connection."""
@@ -296,4 +347,4 @@
     attributes = {"parser_class": parser, "budget": budget}
     if delays is not None:
         attributes["delays"] = delays
-    return type("Channel", (LoggedChannel,), attributes)
+    return type("Channel", (TimedChannel,), attributes)
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -8,6 +8,7 @@
 from waitress import wasyncore
 
 from rattanworks.model.route import DEFAULT_LIMITS
+from rattanworks.utils.due_answers import DueAnswers
 from rattanworks.utils.http_connection import has_input
 from rattanworks.utils.http_loop import HttpLoop
 from rattanworks.utils.http_parts import channel_class
@@ -73,6 +74,7 @@
         self._server.is_draining = False
         self._server.maintenance = self._maintain
         self._server.loop = self._loop
+        self._server.due_answers = DueAnswers()
         # Waitress wakes the loop after each request; here a channel does if needed.
         self._server.pull_trigger = _do_nothing
         self._max_body_bytes = max_body_bytes
@@ -116,7 +118,7 @@
 
     def _run(self):
         try:
-            self._loop.run(self._server)
+            self._loop.run(self._server, self._server.due_answers)
         except (OSError, ValueError):
             # Closing the server closes descriptors while the loop uses them.
             return
--- a/rattanworks/utils/wsgi.py
+++ b/rattanworks/utils/wsgi.py
@@ -69,9 +69,25 @@
 
 def respond(start_response, response):
     """Send a response and return the WSGI body."""
-    reason = REASONS_BY_STATUS.get(response.status, "Unknown")
     headers = list(response.headers)
     if all(name.lower() != "content-length" for name, _ in headers):
         headers.append(("Content-Length", str(len(response.body))))
-    start_response(f"{response.status} {reason}", headers)
+    start_response(_status_line(response), headers)
     return [response.body]
+
+
+def encode_last_response(response):
+    """Return the bytes of a response without a body, the last on its connection."""
+    headers = (
+        *response.headers,
+        ("Content-Length", "0"),
+        ("Connection", "close"),
+    )
+    lines = [f"HTTP/1.1 {_status_line(response)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def _status_line(response):
+    reason = REASONS_BY_STATUS.get(response.status, "Unknown")
+    return f"{response.status} {reason}"
