Let threads begin calls in turn, and refuse calls while others wait to begin

Each call is a thread, and up to 224 of them competed for the interpreter with no order: a thread whose answer had come, or whose time was up, waited among those of calls that had just arrived. Fewer threads would refuse calls that only wait for a server.

A thread now takes one of two turns before it begins a call and gives it back at its first wait; after a wait it needs none. So calls in progress compete with two beginners. Calls of other nodes begin before those of callers. What is left over waits in order; once a caller's call has waited for 0.05 s, the thread that reads refuses new ones itself, with a line (call-not-begun), which the refusal for want of a thread now has too.

turns_tests fail before: all threads began at once.

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -14,7 +14,12 @@
 )
 from rattanworks.routing.entry import CallerRequest, ignore_deadline
 from rattanworks.utils.headers import request_headers
-from rattanworks.utils.http_parts import ANSWER_BY_KEY, HAS_LEFT_KEY, RECEIVED_AT_KEY
+from rattanworks.utils.http_parts import (
+    ANSWER_BY_KEY,
+    HAS_LEFT_KEY,
+    IS_REFUSED_KEY,
+    RECEIVED_AT_KEY,
+)
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.wsgi import (
     Response,
@@ -107,16 +112,22 @@
     def __call__(self, environ, start_response):
         """Serve one request."""
         request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
-        if self._permits.acquire(blocking=False):
+        if environ.get(IS_REFUSED_KEY):
+            answer = self._refuse_busy(request_id, "calls wait to begin")
+        elif self._permits.acquire(blocking=False):
             try:
                 answer = self._answer(environ, request_id)
             finally:
                 self._permits.release()
         else:
-            answer = refusal(503, "the node is busy", BUSY_RETRY_AFTER_SECONDS)
+            answer = self._refuse_busy(request_id, "all threads are taken")
         headers = self._dialect.answer_headers(answer, request_id)
         return respond(start_response, Response(answer.status, answer.body, headers))
 
+    def _refuse_busy(self, request_id, reason):
+        log_event("call-not-begun", request_id=request_id, reason=reason)
+        return refusal(503, f"the node is busy: {reason}", BUSY_RETRY_AFTER_SECONDS)
+
     def _answer(self, environ, request_id):
         received_at = environ.get(RECEIVED_AT_KEY, self._clock.monotonic())
         try:
--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -25,6 +25,7 @@
 from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.delays import ANSWER, TIMER, WorkDelays
 from rattanworks.utils.frames import connect_frames
+from rattanworks.utils.turns import end_turn
 
 # A running host accepts within milliseconds; one without power never answers, and
 # the call still has to reach another endpoint before its deadline.
@@ -71,6 +72,7 @@
     def _wait_once(self):
         seconds = max(0.0, self._seconds_to_next_check())
         due = self._clock.monotonic() + seconds
+        end_turn()
         is_ready = self._poll(seconds)
         if not is_ready:
             self._delays.record(TIMER, self._clock.monotonic() - due)
@@ -222,6 +224,7 @@
 
     def _connect(self, address, timeout):
         connection = None
+        end_turn()
         try:
             connection = connect_frames(address, timeout)
             connection.send(CLOCK_REQUEST)
--- a/rattanworks/adapters/peer_listener.py
+++ b/rattanworks/adapters/peer_listener.py
@@ -13,18 +13,21 @@
 from rattanworks.model.call import StreamedBody
 from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.logging import log_event
+from rattanworks.utils.turns import Beginner, Turns, end_turn
 
 
 class PeerListener:
     """Serves one message of a FrameConnection at a time.
 
     ``dispatch(message, call)`` returns the Answer; a long body is requested from
-    the entry only when ``dispatch`` begins to read it.
+    the entry only when ``dispatch`` begins to read it. Calls begin in the order of
+    ``turns``, by default turns of their own.
     """
 
-    def __init__(self, dispatch, clock):
+    def __init__(self, dispatch, clock, turns=None):
         self._dispatch = dispatch
         self._clock = clock
+        self._turns = turns or Turns()
 
     def __call__(self, connection):
         """Serve one message and return whether the connection may be kept."""
@@ -32,6 +35,10 @@
         if frame == CLOCK_REQUEST:
             connection.send(encode_clock(self._clock))
             return True
+        with self._turns.turn(Beginner.PEER):
+            return self._serve(connection, frame)
+
+    def _serve(self, connection, frame):
         try:
             head, body = connection.parts_of(frame)
             message = decode_call(head)
@@ -55,6 +62,7 @@
 
     def _stream_body(self, connection, message):
         now = self._clock.monotonic()
+        end_turn()
         connection.send_parts(*encode_proceed(message.request_id, now))
         yield from receive_body(connection, message.body_size)
 
--- a/rattanworks/admission/slots.py
+++ b/rattanworks/admission/slots.py
@@ -3,6 +3,7 @@
 import threading
 
 from rattanworks.admission.call_queue import CallQueue, Waiter
+from rattanworks.utils.turns import end_turn
 
 
 class _BlockingWaiter(Waiter):
@@ -65,6 +66,7 @@
 
     def _wait(self, waiter):
         """Wait until the call is decided or something is to be decided."""
+        end_turn()
         left, pause = self._times_to_wait(waiter)
         if waiter.changed.wait(min(left, pause)):
             waiter.changed.clear()
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -78,6 +78,7 @@
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import MemoryBudget
 from rattanworks.utils.precedence_table import PrecedenceTable
+from rattanworks.utils.turns import Turns
 
 MILLISECONDS_PER_SECOND = 1000
 ADMIN_THREADS = 2
@@ -114,6 +115,7 @@
     claims: RoutedClaims
     registry: CollectorRegistry
     delays: WorkDelays
+    turns: Turns
     entry: MeteredEntry
     retry_budget: RetryBudget
     quarantine: CallQuarantine
@@ -266,6 +268,7 @@
         claims=claims,
         registry=registry,
         delays=delays,
+        turns=Turns(),
         entry=MeteredEntry(entry, registry, clock),
         retry_budget=retry_budget,
         quarantine=quarantine,
@@ -354,14 +357,27 @@
     max_bytes = traffic.max_body_bytes
     budget = node.answer_bounds.budget
 
-    def new_server(app, port, threads, max_body_bytes, name):
+    def new_server(app, port, threads, max_body_bytes, name, turns=None):
         return HttpServer(
-            app, listen.host, port, threads, max_body_bytes, name, budget, node.delays
+            app,
+            listen.host,
+            port,
+            threads,
+            max_body_bytes,
+            name,
+            budget,
+            node.delays,
+            turns,
         )
 
     servers = {
         "callers": new_server(
-            callers, listen.callers_port, traffic.callers_threads, max_bytes, "callers"
+            callers,
+            listen.callers_port,
+            traffic.callers_threads,
+            max_bytes,
+            "callers",
+            node.turns,
         ),
         "local": new_server(
             local, listen.local_port, traffic.local_threads, max_bytes, "local"
@@ -388,7 +404,7 @@
     if node.fault_injector:
         dispatch = FaultyDispatch(dispatch, node.fault_injector)
     return FrameServer(
-        PeerListener(dispatch, node.clock),
+        PeerListener(dispatch, node.clock, node.turns),
         listen.host,
         listen.peers_port,
         node.settings.traffic.peers_threads,
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -98,6 +98,10 @@
             "Calls in the queue before the backend server's slots",
             lambda: owner.waiting,
         ),
+        "rattanworks_beginning_calls": (
+            "Calls that wait for their turn to begin",
+            lambda: node.turns.waiting,
+        ),
         "rattanworks_load": (
             "Running and waiting calls as a fraction of the slots",
             lambda: owner.load,
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -13,6 +13,7 @@
     apply_liveness,
     set_acknowledgement_timeout,
 )
+from rattanworks.utils.turns import end_turn
 
 ABANDON_CHECK_SECONDS = 0.1
 MILLISECONDS_PER_SECOND = 1000
@@ -258,6 +259,7 @@
     """
     poll = select.poll()
     poll.register(sock, events)
+    end_turn()
     max_wait = float("inf") if options.is_abandoned is None else ABANDON_CHECK_SECONDS
     while True:
         left = seconds_left(options.deadline)
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -17,6 +17,7 @@
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import Reservation
 from rattanworks.utils.sockets import is_closed_by_peer
+from rattanworks.utils.turns import Beginner
 from rattanworks.utils.wsgi import encode_last_response
 
 MAX_JOINED_BYTES = 64 * 1024
@@ -30,6 +31,7 @@
 HAS_LEFT_KEY = "rattanworks.has_left"
 RECEIVED_AT_KEY = "rattanworks.received_at"
 ANSWER_BY_KEY = "rattanworks.answer_by"
+IS_REFUSED_KEY = "rattanworks.is_refused"
 # Key under which waitress stores the X-Request-Id header.
 REQUEST_ID_FIELD = "X_REQUEST_ID"
 
@@ -132,6 +134,7 @@
         environ = super().get_environment()
         environ[RECEIVED_AT_KEY] = self.request.received_at
         environ[HAS_LEFT_KEY] = self._has_disconnected
+        environ[IS_REFUSED_KEY] = self.channel.is_refusing
         environ[ANSWER_BY_KEY] = functools.partial(self.channel.answer_by, self.request)
         return environ
 
@@ -266,6 +269,8 @@
     is_answering = False
     # Whether the thread that reads has answered in place of the one that serves.
     is_answered_instead = False
+    # Whether the application is to refuse the request that it gets now.
+    is_refusing = False
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
@@ -338,13 +343,40 @@
         super().handle_close()
 
 
-def channel_class(budget, delays=None):
+class OrderedChannel(TimedChannel):
+    """Begins requests in their turn, and refuses those that come during a backlog.
+
+    The thread that reads refuses them itself: a refusal costs no other thread.
+    """
+
+    turns = None
+    # Whether the thread that reads is to refuse the next request.
+    refuses_next = False
+
+    def handle_read(self):
+        """Read; answer a request that is refused."""
+        super().handle_read()
+        while self.refuses_next and self.requests:
+            self.refuses_next, self.is_refusing = False, True
+            super().service()
+
+    def service(self):
+        """Serve the next request in its turn, refuse it if that does not come."""
+        with self.turns.turn(Beginner.CALLER) as has_turn:
+            self.is_refusing = not has_turn
+            super().service()
+
+
+def channel_class(budget, delays=None, turns=None):
     """Return a channel class whose bodies and unsent answers fit into ``budget``.
 
-    ``delays``, WorkDelays or None, records how late requests are handled.
+    ``delays``, WorkDelays or None, records how late requests are handled. With
+    ``turns``, Turns or None, requests begin in their order.
     """
     parser = type("Parser", (BoundedRequestParser,), {"budget": budget})
     attributes = {"parser_class": parser, "budget": budget}
     if delays is not None:
         attributes["delays"] = delays
-    return type("Channel", (TimedChannel,), attributes)
+    if turns is None:
+        return type("Channel", (TimedChannel,), attributes)
+    return type("Channel", (OrderedChannel,), {**attributes, "turns": turns})
--- a/rattanworks/utils/http_pool.py
+++ b/rattanworks/utils/http_pool.py
@@ -19,6 +19,7 @@
     seconds_left,
     write_request,
 )
+from rattanworks.utils.turns import end_turn
 
 CONNECT_SECONDS = 1.0
 # A process on this host accepts or refuses a connection at once.
@@ -61,17 +62,25 @@
 
         A server may have run a request under which a kept connection closed.
         """
-        if not self._permits.acquire(timeout=seconds_left(options.deadline)):
+        if not self._take_permit(options):
             raise CallNotSentError(f"no free connection to {self.address}; retry")
         try:
             connection = self._take_idle() if options.may_reuse else None
             if connection is None:
+                end_turn()
                 connect_seconds = min(seconds_left(options.deadline), CONNECT_SECONDS)
                 connection = self._connect(connect_seconds)
             return self._send_on(connection, method, target, headers, body, options)
         finally:
             self._permits.release()
 
+    def _take_permit(self, options):
+        """Wait for a permit; return whether there was one before the deadline."""
+        if self._permits.acquire(blocking=False):
+            return True
+        end_turn()
+        return self._permits.acquire(timeout=seconds_left(options.deadline))
+
     def is_reachable(self):
         """Return whether the server accepts a new connection."""
         try:
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -34,7 +34,8 @@
     Requests run on up to ``threads`` threads, which start on demand. Bodies stay in
     memory: hosts have no disk. ``max_body_bytes`` limits each, ``budget`` (a
     MemoryBudget or None) all large ones together. ``delays``, WorkDelays or None,
-    records how late requests are handled.
+    records how late requests are handled. With ``turns``, Turns or None, requests
+    begin in their order, and are refused while there is a backlog.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         name,
         budget=None,
         delays=None,
+        turns=None,
     ):
         self._loop = HttpLoop()
         self._server = waitress.create_server(
@@ -70,7 +72,10 @@
             cleanup_interval=CLEANUP_SECONDS,
             clear_untrusted_proxy_headers=False,
         )
-        self._server.channel_class = channel_class(budget, delays)
+        self._server.channel_class = channel_class(budget, delays, turns)
+        if turns is not None:
+            self._turns = turns
+            self._server.add_task = self._begin_or_refuse
         self._server.is_draining = False
         self._server.maintenance = self._maintain
         self._server.loop = self._loop
@@ -86,6 +91,17 @@
         """Begin to accept connections."""
         self._thread.start()
 
+    def _begin_or_refuse(self, channel):
+        """Give a channel with a request that was read to a thread.
+
+        Only the thread that reads may refuse: it answers after it has read.
+        """
+        is_reading = threading.current_thread() is self._thread
+        if is_reading and self._turns.is_backlogged:
+            channel.refuses_next = True
+        else:
+            self._server.task_dispatcher.add_task(channel)
+
     def apply(self, limits):
         """Apply CallerLimits from the next request on."""
         adjustments = self._server.adj
