Write log events to eliot's destinations without an action

Each event got a task id and a task level from eliot's actions, which no line shows, also when the line's limit drops it.

--- a/rattanworks/utils/logging.py
+++ b/rattanworks/utils/logging.py
@@ -142,6 +142,7 @@
 
 
 _destinations = []
+_logger = eliot.Logger()
 
 
 def configure_logging(stream=None, **context):
@@ -160,7 +161,8 @@
 
 def log_event(event, **fields):
     """Log one event with its fields."""
-    eliot.log_message(message_type=event, **fields)
+    # Outside of eliot's actions, whose ids are not part of a line.
+    _logger.write({"message_type": event, "timestamp": time.time(), **fields})
 
 
 def parse_line(line):
