Begin and refuse calls by the priority of their route

During a backlog the reading thread refused whichever call came, calls of backend servers and bookings before lookups that are less urgent. Calls now wait for their turn by the priority of their route, and one is refused only if a call that goes before it has waited for too long.

--- a/rattanworks/adapters/http_callers.py
+++ b/rattanworks/adapters/http_callers.py
@@ -34,6 +34,7 @@
 MAX_ID_LENGTH = 200
 NOT_READY_RETRY_AFTER_SECONDS = 1.0
 BUSY_RETRY_AFTER_SECONDS = 1.0
+CUSTOMER_KEY = "HTTP_X_CUSTOMER"
 RETRIES_KEY = "HTTP_X_RETRIES"
 # The thread of a call that ends at its deadline has this long to answer first. Longer
 # than the 0.05 s that it waits for an owner after the deadline.
@@ -66,7 +67,7 @@
 
     def customer(self, environ):
         """Return the customer's id, empty for none."""
-        return environ.get("HTTP_X_CUSTOMER", "")
+        return environ.get(CUSTOMER_KEY, "")
 
     def idempotency_key(self, environ):
         """Return the key under which the call runs once, empty for none."""
@@ -113,18 +114,28 @@
         """Serve one request."""
         request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
         if environ.get(IS_REFUSED_KEY):
-            answer = self._refuse_busy(request_id, "calls wait to begin")
+            answer = self._refuse_busy(environ, request_id, "calls wait to begin")
         elif self._permits.acquire(blocking=False):
             try:
                 answer = self._answer(environ, request_id)
             finally:
                 self._permits.release()
         else:
-            answer = self._refuse_busy(request_id, "all threads are taken")
+            answer = self._refuse_busy(environ, request_id, "all threads are taken")
         headers = self._dialect.answer_headers(answer, request_id)
         return respond(start_response, Response(answer.status, answer.body, headers))
 
-    def _refuse_busy(self, request_id, reason):
+    def rank_of(self, headers, path):
+        """Return the priority of a request by waitress's headers and its path."""
+        customer = self._dialect.customer(
+            {CUSTOMER_KEY: headers.get(CUSTOMER_KEY.removeprefix("HTTP_"), "")}
+        )
+        return self._entry.priority_of(customer, headers.get("HOST", ""), path)
+
+    def _refuse_busy(self, environ, request_id, reason):
+        # A planned stop waits for callers who still come.
+        received_at = environ.get(RECEIVED_AT_KEY, self._clock.monotonic())
+        self._call_deadline(received_at, received_at)
         log_event("call-not-begun", request_id=request_id, reason=reason)
         return refusal(503, f"the node is busy: {reason}", BUSY_RETRY_AFTER_SECONDS)
 
--- a/rattanworks/adapters/peer_listener.py
+++ b/rattanworks/adapters/peer_listener.py
@@ -13,7 +13,7 @@
 from rattanworks.model.call import StreamedBody
 from rattanworks.utils.codec import DecodeError
 from rattanworks.utils.logging import log_event
-from rattanworks.utils.turns import Beginner, Turns, end_turn
+from rattanworks.utils.turns import PEERS_RANK, Turns, end_turn
 
 
 class PeerListener:
@@ -35,7 +35,7 @@
         if frame == CLOCK_REQUEST:
             connection.send(encode_clock(self._clock))
             return True
-        with self._turns.turn(Beginner.PEER):
+        with self._turns.turn(PEERS_RANK):
             return self._serve(connection, frame)
 
     def _serve(self, connection, frame):
--- a/rattanworks/node/composition.py
+++ b/rattanworks/node/composition.py
@@ -74,6 +74,7 @@
 from rattanworks.utils.answer_limits import AnswerBounds
 from rattanworks.utils.delays import WorkDelays
 from rattanworks.utils.frames import FrameServer
+from rattanworks.utils.http_parts import RequestOrder
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import MemoryBudget
@@ -357,7 +358,7 @@
     max_bytes = traffic.max_body_bytes
     budget = node.answer_bounds.budget
 
-    def new_server(app, port, threads, max_body_bytes, name, turns=None):
+    def new_server(app, port, threads, max_body_bytes, name, order=None):
         return HttpServer(
             app,
             listen.host,
@@ -367,7 +368,7 @@
             name,
             budget,
             node.delays,
-            turns,
+            order,
         )
 
     servers = {
@@ -377,7 +378,7 @@
             traffic.callers_threads,
             max_bytes,
             "callers",
-            node.turns,
+            RequestOrder(node.turns, callers.rank_of),
         ),
         "local": new_server(
             local, listen.local_port, traffic.local_threads, max_bytes, "local"
--- a/rattanworks/node/metrics.py
+++ b/rattanworks/node/metrics.py
@@ -52,6 +52,10 @@
             registry=registry,
         )
 
+    def priority_of(self, customer, host, path):
+        """Return the priority of a request."""
+        return self._entry.priority_of(customer, host, path)
+
     def handle(self, request):
         """Return the Answer to a caller's request."""
         started = self._clock.monotonic()
--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -39,6 +39,7 @@
 DEFAULT_ATTEMPTS = 3
 NO_ENDPOINT_RETRY_AFTER_SECONDS = 1.0
 MILLISECONDS_PER_SECOND = 1000
+HIGHEST_PRIORITY = 0
 RETRIES_HEADER = ("X-Retries", "outer")
 
 
@@ -114,6 +115,16 @@
         self._policy = RetryPolicy(self._budget, self._failures)
         self.observer = None
 
+    def priority_of(self, customer, host, path):
+        """Return the priority of a request, the lowest number for one without a route.
+
+        Such a request is refused, which costs little.
+        """
+        table = self._tables.current
+        plan = table.plan_of(customer)
+        match = table.match(plan, host, path) if plan is not None else None
+        return HIGHEST_PRIORITY if match is None else match.priority
+
     def handle(self, request):
         """Return the Answer to a caller's request."""
         table = self._tables.current
@@ -218,12 +229,11 @@
 
     def _call_for(self, request, match, target):
         route = match.route
-        priority = match.plan.priority if route.priority is None else route.priority
         return Call(
             request_id=request.request_id,
             customer=request.customer,
             plan=match.plan.name,
-            priority=priority,
+            priority=match.priority,
             service=target.service,
             route=route.name,
             method=request.method,
--- a/rattanworks/routing/table.py
+++ b/rattanworks/routing/table.py
@@ -90,6 +90,12 @@
     plan: Plan
     route: Route
 
+    @property
+    def priority(self):
+        """Return the priority of the calls; lower numbers are served first."""
+        priority = self.route.priority
+        return self.plan.priority if priority is None else priority
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -5,6 +5,7 @@
 import operator
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from waitress.channel import ClientDisconnected, HTTPChannel
@@ -17,7 +18,7 @@
 from rattanworks.utils.logging import log_event
 from rattanworks.utils.memory_budget import Reservation
 from rattanworks.utils.sockets import is_closed_by_peer
-from rattanworks.utils.turns import Beginner
+from rattanworks.utils.turns import Turns
 from rattanworks.utils.wsgi import encode_last_response
 
 MAX_JOINED_BYTES = 64 * 1024
@@ -343,6 +344,18 @@
         super().handle_close()
 
 
+@dataclass(frozen=True, slots=True)
+class RequestOrder:
+    """The Turns in which requests begin.
+
+    ``rank_of(headers, path)`` returns the rank of a request, from 0 on, the lowest
+    first; ``headers`` has waitress's names.
+    """
+
+    turns: Turns
+    rank_of: Callable[[dict, str], int]
+
+
 class OrderedChannel(TimedChannel):
     """Begins requests in their turn, and refuses those that come during a backlog.
 
@@ -350,9 +363,21 @@
     """
 
     turns = None
+    rank_of = None
     # Whether the thread that reads is to refuse the next request.
     refuses_next = False
 
+    @property
+    def rank(self):
+        """Return the rank of the next request among those that wait to begin."""
+        request = self.requests[0]
+        return 0 if request.error else self.rank_of(request.headers, request.path)
+
+    @property
+    def is_beyond_backlog(self):
+        """Return whether the next request is to be refused at once."""
+        return self.turns.waiting and self.turns.is_backlogged(self.rank)
+
     def handle_read(self):
         """Read; answer a request that is refused."""
         super().handle_read()
@@ -362,21 +387,22 @@
 
     def service(self):
         """Serve the next request in its turn, refuse it if that does not come."""
-        with self.turns.turn(Beginner.CALLER) as has_turn:
+        with self.turns.turn(self.rank) as has_turn:
             self.is_refusing = not has_turn
             super().service()
 
 
-def channel_class(budget, delays=None, turns=None):
+def channel_class(budget, delays=None, order=None):
     """Return a channel class whose bodies and unsent answers fit into ``budget``.
 
     ``delays``, WorkDelays or None, records how late requests are handled. With
-    ``turns``, Turns or None, requests begin in their order.
+    ``order``, a RequestOrder or None, requests begin in their turn.
     """
     parser = type("Parser", (BoundedRequestParser,), {"budget": budget})
     attributes = {"parser_class": parser, "budget": budget}
     if delays is not None:
         attributes["delays"] = delays
-    if turns is None:
+    if order is None:
         return type("Channel", (TimedChannel,), attributes)
-    return type("Channel", (OrderedChannel,), {**attributes, "turns": turns})
+    attributes |= {"turns": order.turns, "rank_of": staticmethod(order.rank_of)}
+    return type("Channel", (OrderedChannel,), attributes)
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -34,8 +34,8 @@
     Requests run on up to ``threads`` threads, which start on demand. Bodies stay in
     memory: hosts have no disk. ``max_body_bytes`` limits each, ``budget`` (a
     MemoryBudget or None) all large ones together. ``delays``, WorkDelays or None,
-    records how late requests are handled. With ``turns``, Turns or None, requests
-    begin in their order, and are refused while there is a backlog.
+    records how late requests are handled. With ``order``, a RequestOrder or None,
+    requests begin in their turn, and are refused while there is a backlog.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         name,
         budget=None,
         delays=None,
-        turns=None,
+        order=None,
     ):
         self._loop = HttpLoop()
         self._server = waitress.create_server(
@@ -72,9 +72,8 @@
             cleanup_interval=CLEANUP_SECONDS,
             clear_untrusted_proxy_headers=False,
         )
-        self._server.channel_class = channel_class(budget, delays, turns)
-        if turns is not None:
-            self._turns = turns
+        self._server.channel_class = channel_class(budget, delays, order)
+        if order is not None:
             self._server.add_task = self._begin_or_refuse
         self._server.is_draining = False
         self._server.maintenance = self._maintain
@@ -97,7 +96,7 @@
         Only the thread that reads may refuse: it answers after it has read.
         """
         is_reading = threading.current_thread() is self._thread
-        if is_reading and self._turns.is_backlogged:
+        if is_reading and channel.is_beyond_backlog:
             channel.refuses_next = True
         else:
             self._server.task_dispatcher.add_task(channel)
--- a/rattanworks/utils/turns.py
+++ b/rattanworks/utils/turns.py
@@ -1,35 +1,27 @@
 """The order in which the threads of a node begin calls."""
 
 import contextlib
-import enum
 import threading
 import time
-from collections import deque
+from collections import defaultdict, deque
 
 # Threads that begin a call at the same time. Python runs one of them at a time; the
 # second one goes on while the first makes a system call.
 BEGINNING_THREADS = 2
 # A turn that is held for longer no longer counts: its thread is blocked.
 MAX_HOLD_SECONDS = 0.05
-# A call that has waited for longer to begin is handled without a turn.
+# Longest wait for a turn. It is about the shortest objective of callers.
 MAX_WAIT_SECONDS = 0.25
-# A new call of a caller is refused while another one has waited for longer. It is a
+# A new call is refused while one that goes before it has waited for longer. It is a
 # fraction of the shortest objective of callers, 0.2 s.
 BACKLOG_SECONDS = 0.05
+# Calls of other nodes begin before those of callers, which have ranks from 0 on:
+# another node has already worked for them.
+PEERS_RANK = -1
 
 _current = threading.local()
 
 
-class Beginner(enum.IntEnum):
-    """Who sent a call, in the order in which calls begin.
-
-    Another node has already worked for a call of PEER.
-    """
-
-    PEER = 0
-    CALLER = 1
-
-
 class _Turn:
     """A turn of one thread, waited for and then held since ``since``."""
 
@@ -42,7 +34,7 @@
 
 
 class Turns:
-    """Lets a few threads at a time begin calls, in the order of Beginner.
+    """Lets a few threads at a time begin calls, those of the lowest rank first.
 
     A thread holds its turn until ``end_turn``, which everything that blocks calls
     first. A thread that goes on after a wait needs no turn.
@@ -51,23 +43,27 @@
     compete for the interpreter, a thread whose answer has arrived or whose time is up
     waits among them for seconds. With turns it competes with a few: calls in progress
     end before others begin, and the calls that are left over wait in order, with a
-    delay that tells when to refuse calls.
+    delay that tells when to refuse calls. A call that has waited for ``max_wait``
+    seconds goes on without a turn.
     """
 
-    def __init__(self, limit=BEGINNING_THREADS, monotonic=time.monotonic):
+    def __init__(
+        self,
+        limit=BEGINNING_THREADS,
+        monotonic=time.monotonic,
+        max_wait=MAX_WAIT_SECONDS,
+    ):
         self._limit = limit
+        self._max_wait = max_wait
         self._monotonic = monotonic
         self._lock = threading.Lock()
         self._held = set()
-        self._waiting_by_beginner = {beginner: deque() for beginner in Beginner}
+        self._waiting_by_rank = defaultdict(deque)
 
     @contextlib.contextmanager
-    def turn(self, beginner, max_wait=MAX_WAIT_SECONDS):
-        """Hold a turn, unless none is free within ``max_wait`` seconds.
-
-        Yields whether one was free.
-        """
-        turn = self._take(beginner, max_wait)
+    def turn(self, rank):
+        """Hold a turn, unless none is free in time; yields whether one was."""
+        turn = self._take(rank)
         _current.turn = turn and (self, turn)
         try:
             yield turn is not None
@@ -77,16 +73,18 @@
     @property
     def waiting(self):
         """Return the number of calls that wait for a turn."""
-        return sum(map(len, self._waiting_by_beginner.values()))
+        return sum(map(len, list(self._waiting_by_rank.values())))
 
-    @property
-    def is_backlogged(self):
-        """Return whether a caller's call has waited for too long."""
-        waiting = self._waiting_by_beginner[Beginner.CALLER]
-        try:
-            return self._monotonic() - waiting[0].since > BACKLOG_SECONDS
-        except IndexError:
+    def is_backlogged(self, rank):
+        """Return whether a call that goes before ``rank`` has waited for too long."""
+        if not self.waiting:
             return False
+        latest = self._monotonic() - BACKLOG_SECONDS
+        with self._lock:
+            return any(
+                waiting and other <= rank and waiting[0].since < latest
+                for other, waiting in self._waiting_by_rank.items()
+            )
 
     def end(self, turn):
         """Give a turn back."""
@@ -94,16 +92,16 @@
             self._held.discard(turn)
             self._grant(self._monotonic())
 
-    def _take(self, beginner, max_wait):
+    def _take(self, rank):
         """Return a turn, None if none was free in time."""
-        waiting = self._waiting_by_beginner[beginner]
         with self._lock:
             now = self._monotonic()
             turn = _Turn(now)
+            waiting = self._waiting_by_rank[rank]
             waiting.append(turn)
             self._drop_overdue(now)
             self._grant(now)
-        if turn.is_granted.acquire(timeout=max_wait):
+        if turn.is_granted.acquire(timeout=self._max_wait):
             return turn
         with self._lock:
             if turn not in waiting:
@@ -112,7 +110,7 @@
             return None
 
     def _grant(self, now):
-        for waiting in self._waiting_by_beginner.values():
+        for _, waiting in sorted(self._waiting_by_rank.items()):
             while waiting and len(self._held) < self._limit:
                 turn = waiting.popleft()
                 turn.since = now
