Hold no lock of all threads while a thread starts or a connection is armed

The class of the lock of calls to peers, elsewhere: the listener of other nodes armed each connection, and both pools started threads, with the lock held that every message or request needs. Each of the two gives up the interpreter; a start waits until the new thread has run.

--- a/rattanworks/tests/utils/thread_pool_tests.py
+++ b/rattanworks/tests/utils/thread_pool_tests.py
@@ -1,5 +1,6 @@
 import threading
 import unittest
+import unittest.mock
 
 from rattanworks.utils.thread_pool import OnDemandPool
 
@@ -54,6 +55,19 @@
         self.start(pool, 3)
         self.assertEqual(pool.thread_count, 3)
 
+    def test_the_lock_of_the_pool_is_free_while_a_thread_starts(self):
+        pool = self.new_pool()
+        are_held = []
+        start = threading.Thread.start
+
+        def checking_start(thread):
+            are_held.append(pool._changed._is_owned())
+            start(thread)
+
+        with unittest.mock.patch.object(threading.Thread, "start", checking_start):
+            self.start(pool, 2)
+        self.assertEqual(are_held, [False, False])
+
     def test_tasks_beyond_the_threads_wait_and_run_in_order(self):
         pool = self.new_pool(max_threads=1)
         self.start(pool, 1)
--- a/rattanworks/utils/frames.py
+++ b/rattanworks/utils/frames.py
@@ -183,10 +183,11 @@
     def start(self):
         """Begin to accept connections."""
         with self._lock:
-            self._add_thread()
+            self._threads += 1
+        self._start_thread()
 
-    def _add_thread(self):
-        self._threads += 1
+    def _start_thread(self):
+        # Not under the lock: the new thread has to run before this one goes on.
         name = f"{self._name}-{self._threads}"
         threading.Thread(target=self._work, name=name, daemon=True).start()
 
@@ -234,8 +235,10 @@
             return
         with self._lock:
             self._busy += 1
-            if self._busy == self._threads and self._threads < self._max_threads:
-                self._add_thread()
+            is_last = self._busy == self._threads < self._max_threads
+            self._threads += is_last
+        if is_last:
+            self._start_thread()
         is_kept = False
         try:
             is_kept = self._serve(connection)
@@ -251,11 +254,15 @@
 
     def _rearm_or_close(self, descriptor, connection, is_kept):
         with self._lock:
-            if is_kept and not self._is_stopped:
+            is_kept = is_kept and not self._is_stopped
+            if is_kept:
                 self._idle_by_descriptor[descriptor] = connection
-                self._epoll.modify(descriptor, ARMED)
-                return
-        connection.close()
+        if not is_kept:
+            connection.close()
+            return
+        # A stop may have closed the connection meanwhile.
+        with contextlib.suppress(OSError, ValueError):
+            self._epoll.modify(descriptor, ARMED)
 
     @property
     def thread_count(self):
--- a/rattanworks/utils/thread_pool.py
+++ b/rattanworks/utils/thread_pool.py
@@ -41,13 +41,15 @@
         with self._changed:
             if self._idle_inboxes:
                 self._idle_inboxes.pop().put(task)
-            elif self._thread_count < self._max_threads and not self._is_stopped:
-                self._start_thread(task)
-            else:
+                return
+            if self._thread_count >= self._max_threads or self._is_stopped:
                 self._waiting_tasks.append(task)
+                return
+            self._thread_count += 1
+        self._start_thread(task)
 
     def _start_thread(self, task):
-        self._thread_count += 1
+        # Not under the lock: the new thread has to run before this one goes on.
         name = f"{self._name}-{next(self._numbers)}"
         threading.Thread(
             target=self._work, args=(task,), name=name, daemon=True
