Create the event of a call that wants a slot only when it has to wait

Every call got an event with its lock, also if it was granted or refused at once. All that sets an event holds the lock under which it is now created.

--- a/rattanworks/admission/slots.py
+++ b/rattanworks/admission/slots.py
@@ -11,12 +11,14 @@
 
     def __init__(self, rank):
         super().__init__(rank)
-        # Set when the call is decided or the time of its start may have changed.
-        self.changed = threading.Event()
+        # Set when the call is decided or the time of its start may have changed; None
+        # while no thread can wait for it.
+        self.changed = None
 
     def complete(self, admission):
         super().complete(admission)
-        self.changed.set()
+        if self.changed is not None:
+            self.changed.set()
 
 
 class SlotQueue:
@@ -60,6 +62,9 @@
         waiter = _BlockingWaiter(rank)
         with self._lock:
             self._queue.submit(waiter, self._clock.monotonic(), may_wait)
+            # Most calls are decided at once: an event costs more than the decision.
+            if waiter.admission is None:
+                waiter.changed = threading.Event()
         while waiter.admission is None:
             self._wait(waiter)
         return waiter.admission
