Join the sets of dropped headers once, not for each call

request_headers of seven headers: 4.5 to 4.6 us before, 3.3 us after; answer_headers of six: 4.3 us before, 3.1 us after (timeit, three runs each in turn). The results of both were the same on 300,000 drawn lists of headers.

--- a/rattanworks/utils/headers.py
+++ b/rattanworks/utils/headers.py
@@ -27,14 +27,13 @@
 )
 OWN_ANSWER_HEADERS = frozenset({"x-not-run", "x-request-id", "x-request-outcome"})
 OWN_PREFIX = "rattanworks-"
+DROPPED_FROM_REQUESTS = HOP_HEADERS | SET_BY_HOPS | OWN_REQUEST_HEADERS
+DROPPED_FROM_ANSWERS = HOP_HEADERS | SET_BY_HOPS | OWN_ANSWER_HEADERS
 
 
 def request_headers(headers):
     """Return the caller's headers that are forwarded to the backend server."""
-    dropped = (
-        HOP_HEADERS | SET_BY_HOPS | OWN_REQUEST_HEADERS | _connection_tokens(headers)
-    )
-    return _without(headers, dropped)
+    return _without(headers, _with_connection_tokens(DROPPED_FROM_REQUESTS, headers))
 
 
 def answer_headers(headers, is_head=False):
@@ -43,27 +42,24 @@
     The Content-Length of an answer to HEAD is kept: it describes a body that is
     not sent.
     """
-    dropped = (
-        HOP_HEADERS | SET_BY_HOPS | OWN_ANSWER_HEADERS | _connection_tokens(headers)
-    )
+    dropped = _with_connection_tokens(DROPPED_FROM_ANSWERS, headers)
     if is_head:
         dropped = dropped - {"content-length"}
     return _without(headers, dropped)
 
 
-def _connection_tokens(headers):
+def _with_connection_tokens(dropped, headers):
     # The Connection header lists further headers that end at this hop.
-    return {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped = dropped | {token.strip().lower() for token in value.split(",")}
+    return dropped
 
 
 def _without(headers, dropped):
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in dropped and not name.lower().startswith(OWN_PREFIX)
+        if (lowered := name.lower()) not in dropped
+        and not lowered.startswith(OWN_PREFIX)
     )
