--- a/rattanworks/routing/entry.py
+++ b/rattanworks/routing/entry.py
@@ -300,7 +300,9 @@
             )
             if record is None:
                 break
-            attempt = self._attempt(record, replace(call, is_repeat=attempts.is_sent))
+            if attempts.is_sent and not call.is_repeat:
+                call = replace(call, is_repeat=True)
+            attempt = self._attempt(record, call)
             answer = attempt.answer
             attempts.record(record.node, attempt)
             self._log_attempt(call, record, attempt)
