Serve a server without heartbeats again that left and returned

Found by a review: a server that announces itself without heartbeats may leave and return under the same identity, but since calls ask again before they are sent, each was refused as if it had left. Its return now ends its leaving. owner_tests fail before.

--- a/rattanworks/admission/owner.py
+++ b/rattanworks/admission/owner.py
@@ -137,6 +137,8 @@
                 )
             self._backend = backend
             self._announcement = announcement
+            if announcement.identity == self._left_identity:
+                self._left_identity = None
             self._checks_without_heartbeat = 0
             self._consecutive_send_failures = 0
             is_replaced = old_queue is not None and old_queue is not self._slot_queue
--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -89,6 +89,12 @@
                 self.assertEqual(answer.status, 503)
         self.assertEqual(self.backend.runs, [])
 
+    def test_a_server_without_heartbeats_that_left_and_returned_gets_calls(self):
+        self.attach()
+        self.owner.leave()
+        self.attach()
+        self.assertEqual(self.dispatch().outcome, Outcome.DONE)
+
     def leave_for_another(self):
         self.owner.leave()
         self.attach(FakeBackendServer(), instance="another")
