Let calls come and go while the reading thread looks for overdue ones

Callers of a node got no answers any more: the reading thread walked over the calls in progress while their threads changed them, and ended with RuntimeError.

An overdue call that came during the look could also wait for 0.5 s.

due_answers_tests fail before.

--- a/rattanworks/tests/utils/due_answers_tests.py
+++ b/rattanworks/tests/utils/due_answers_tests.py
@@ -44,6 +44,31 @@
         self.clock.advance(1.0)
         self.assertEqual(seconds_to_next(LIMIT_SECONDS), STEP_SECONDS)
 
+    def test_answers_that_come_and_go_while_others_are_given(self):
+        # The collector may let another thread run whenever something is allocated.
+        class Entries(dict):
+            def items(entries):
+                for pair in super().items():
+                    self.add(object(), 1.0)
+                    yield pair
+
+        self.due_answers._by_key = Entries()
+        self.add("a", 1.0)
+        self.add("b", 1.0)
+        self.assertEqual(self.run_after(2.0), ["a", "b"])
+
+    def test_an_answer_that_is_added_during_a_look_wakes_the_thread(self):
+        entries = self.due_answers._entries
+
+        def add_after_the_look():
+            copied = entries()
+            self.wakes = self.add("a", LIMIT_SECONDS / 2)
+            return copied
+
+        self.due_answers._entries = add_after_the_look
+        self.due_answers.seconds_to_next(LIMIT_SECONDS)
+        self.assertTrue(self.wakes)
+
     def test_an_answer_that_is_due_during_the_wait_wakes_the_thread(self):
         self.due_answers.seconds_to_next(LIMIT_SECONDS)
         self.assertTrue(self.add("a", LIMIT_SECONDS / 2))
--- a/rattanworks/utils/due_answers.py
+++ b/rattanworks/utils/due_answers.py
@@ -44,6 +44,9 @@
     def seconds_to_next(self, limit):
         """Return for how long to wait, at most ``limit`` seconds."""
         now = self._monotonic()
+        # Set before the look at the answers: one that is added during it is either
+        # seen or wakes this thread.
+        self._next_look = now + limit
         due = min((entry.due for entry in self._entries()), default=math.inf)
         seconds = min(limit, max(STEP_SECONDS, due - now))
         self._next_look = now + seconds
@@ -52,8 +55,11 @@
     def run_due(self):
         """Give the answers that are due."""
         now = self._monotonic()
-        for key, entry in list(self._by_key.items()):
-            if entry.due <= now:
+        # Copies of keys and of values are taken at once; items() would not be, as other
+        # threads may run while its pairs are allocated.
+        for key in list(self._by_key):
+            entry = self._by_key.get(key)
+            if entry is not None and entry.due <= now:
                 self._by_key.pop(key, None)
                 entry.answer()
 
