Close connections on the reading thread only, and let no error end it

Callers of a node got no answers any more: a worker that found its caller gone closed the connection while the loop looked at it, and the reading thread ended, mostly without a line.

A worker now leaves the close to the reading thread, and an error ends one connection or one pass of the loop, with a line (task-step-failed).

http_loop_tests fail before.

--- a/rattanworks/tests/utils/http_loop_tests.py
+++ b/rattanworks/tests/utils/http_loop_tests.py
@@ -1,8 +1,11 @@
+import contextlib
 import http.client
 import socket
+import threading
 import unittest
 
 from rattanworks.bench.fleet import wait_until
+from rattanworks.tests.servers import exchange_raw
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.sockets import split_address
 from rattanworks.utils.wsgi import Response, respond
@@ -87,3 +90,44 @@
         server.stop()
         self.assertEqual(sock.recv(1), b"")
         self.assertFalse(server.has_connections)
+
+    def test_only_the_thread_that_reads_closes_a_connection(self):
+        # Closing takes the descriptor away from under the loop.
+        connection = self.connect()
+        self.exchange(connection)
+        (channel,) = self.server._server.active_channels.values()
+        closing_threads = []
+        del_channel = channel.del_channel
+
+        def recording_del_channel(*arguments):
+            closing_threads.append(threading.current_thread())
+            del_channel(*arguments)
+
+        channel.del_channel = recording_del_channel
+        channel.handle_close()
+        self.assertEqual(connection.sock.recv(1), b"")
+        self.assertEqual(closing_threads, [self.server._thread])
+
+    def test_an_error_on_one_connection_ends_that_one_only(self):
+        connection, other = self.connect(), self.connect()
+        self.exchange(connection)
+        (channel,) = self.server._server.active_channels.values()
+
+        def fail():
+            raise RuntimeError("a defect")
+
+        channel.readable = fail
+        with contextlib.suppress(http.client.HTTPException, ConnectionError):
+            self.exchange(connection)
+        self.assertEqual(self.exchange(other), b"whole")
+        self.assertTrue(self.server._thread.is_alive())
+
+    def test_threads_wake_the_loop_for_what_they_cannot_do(self):
+        # Without the look at all connections once a second.
+        self.server._loop.refresh_all = lambda: None
+        for path, body in (("/", b"whole"), ("/large", LARGE_BODY)):
+            raw = exchange_raw(
+                self.server.address,
+                f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encode(),
+            )
+            self.assertTrue(raw.endswith(body))
--- a/rattanworks/utils/http_loop.py
+++ b/rattanworks/utils/http_loop.py
@@ -1,11 +1,15 @@
 """The loop of a waitress server's reading thread, on epoll."""
 
 import contextlib
+import functools
 import select
+import threading
 from collections import deque
 
 from waitress import wasyncore
 
+from rattanworks.utils.tasks import run_guarded
+
 # EPOLL* and POLL* have the same values, which wasyncore.readwrite expects.
 READ = select.EPOLLIN | select.EPOLLPRI
 WRITE = select.EPOLLOUT
@@ -30,6 +34,7 @@
         self._interest_by_descriptor = {}
         self._changed = deque()
         self._added = set()
+        self._thread = None
 
     def __setitem__(self, descriptor, dispatcher):
         """Add a dispatcher, which may not be built completely yet."""
@@ -62,27 +67,44 @@
         for dispatcher in list(self.values()):
             self._refresh(dispatcher)
 
-    def run(self, server, due_answers):
+    @property
+    def is_own_thread(self):
+        """Return whether the calling thread may close dispatchers.
+
+        Only the thread of the loop may while it runs.
+        """
+        return self._thread in (None, threading.current_thread())
+
+    def run(self, server, due_answers, name):
         """Run until the map is empty; ``server`` is the listening dispatcher.
 
-        Gives the answers of ``due_answers`` that are due.
+        Gives the answers of ``due_answers`` that are due. An error ends one connection
+        or one pass, not the thread on which all callers depend.
         """
+        self._thread = threading.current_thread()
+        run_pass = functools.partial(self._run_pass, server, due_answers)
         while self:
-            self._refresh(server)
-            while self._changed:
-                self._refresh(self._changed.popleft())
-            self._added.clear()
-            timeout = due_answers.seconds_to_next(LOOP_SECONDS)
-            for descriptor, flags in self._epoll.poll(timeout):
-                self._handle(descriptor, flags)
-            due_answers.run_due()
+            run_guarded(name, run_pass)
+        self._thread = None
         self._epoll.close()
 
-    def _handle(self, descriptor, flags):
-        dispatcher = self.get(descriptor)
-        # One that was added in this pass may have the descriptor of a closed one.
-        if dispatcher is None or descriptor in self._added:
-            return
+    def _run_pass(self, server, due_answers):
+        self._refresh(server)
+        while self._changed:
+            self._refresh(self._changed.popleft())
+        self._added.clear()
+        timeout = due_answers.seconds_to_next(LOOP_SECONDS)
+        for descriptor, flags in self._epoll.poll(timeout):
+            dispatcher = self.get(descriptor)
+            # One that was added in this pass may have the descriptor of a closed one.
+            if dispatcher is None or descriptor in self._added:
+                continue
+            handle = functools.partial(self._handle, dispatcher, flags)
+            if not run_guarded("connection", handle):
+                run_guarded("connection", dispatcher.handle_close)
+        due_answers.run_due()
+
+    def _handle(self, dispatcher, flags):
         wasyncore.readwrite(dispatcher, flags)
         self._refresh(dispatcher)
 
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -328,7 +328,11 @@
             self.server.due_answers.discard(request)
 
     def handle_close(self):
-        """Close the connection."""
+        """Close the connection, or let the thread that reads close it."""
+        if not self.server.loop.is_own_thread:
+            self.will_close = True
+            self._wake_loop()
+            return
         requests = self.requests
         with self.outbuf_lock:
             is_answered = self.is_answering and not self.total_outbufs_len
--- a/rattanworks/utils/http_server.py
+++ b/rattanworks/utils/http_server.py
@@ -132,11 +132,7 @@
         self._loop.refresh_all()
 
     def _run(self):
-        try:
-            self._loop.run(self._server, self._server.due_answers)
-        except (OSError, ValueError):
-            # Closing the server closes descriptors while the loop uses them.
-            return
+        self._loop.run(self._server, self._server.due_answers, self._thread.name)
 
     def close_after_answers(self):
         """Close each connection after its next answer; still accept new ones."""
