Rank a request by its path as the entry reads it

The rank was looked up by waitress's raw path: a request whose path has other than ASCII characters missed its route and went before urgent ones.

--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -19,7 +19,7 @@
 from rattanworks.utils.memory_budget import Reservation
 from rattanworks.utils.sockets import is_closed_by_peer
 from rattanworks.utils.turns import Turns
-from rattanworks.utils.wsgi import encode_last_response
+from rattanworks.utils.wsgi import encode_last_response, path_of
 
 MAX_JOINED_BYTES = 64 * 1024
 # Answers of which no more than this is unsent reserve nothing. All connections of a
@@ -375,7 +375,10 @@
     def rank(self):
         """Return the rank of the next request among those that wait to begin."""
         request = self.requests[0]
-        return 0 if request.error else self.rank_of(request.headers, request.path)
+        if request.error:
+            return 0
+        path = path_of({"PATH_INFO": request.path})
+        return self.rank_of(request.headers, path)
 
     @property
     def is_beyond_backlog(self):
