Let calls that wait go on when a turn no longer counts

Callers were refused by a node whose processor was idle: a turn that is held for too long was dropped only when a new call came, and during a backlog new calls are refused before that. Found by a review: with both turns held by blocked threads, five calls waited for 0.25 s and were refused; now each begins after 0.1 s. Turns are given back before long sends as well.

--- a/rattanworks/adapters/peer_calls.py
+++ b/rattanworks/adapters/peer_calls.py
@@ -36,6 +36,8 @@
 # A short answer takes two reads, of its size and of its content. If the bytes have
 # arrived, they are read without a check of the deadline, however late it is.
 READS_OF_SHORT_ANSWER = 2
+# Fits into the send buffer of a connection on which nothing else is unsent.
+SENT_AT_ONCE_BYTES = 16 * 1024
 
 
 class DeadlineExceededError(TimeoutError):
@@ -158,6 +160,8 @@
         parts = encode_call(
             call, self._sender, record, offset.to_owner_time, self._inline_bytes(record)
         )
+        if len(parts[1]) > SENT_AT_ONCE_BYTES:
+            end_turn()
         connection.send_parts(*parts)
         message, body = self._receive(connection, offset, call)
         if message.status == PROCEED_STATUS:
--- a/rattanworks/utils/http_connection.py
+++ b/rattanworks/utils/http_connection.py
@@ -215,6 +215,7 @@
     """Write a request; return whether all of it was sent before the answer began."""
     has_body = len(body) > 0
     if has_body:
+        end_turn()
         # Headers and body share a packet where they fit.
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
     request = connection.new_request()
--- a/rattanworks/utils/turns.py
+++ b/rattanworks/utils/turns.py
@@ -9,7 +9,7 @@
 # second one goes on while the first makes a system call.
 BEGINNING_THREADS = 2
 # A turn that is held for longer no longer counts: its thread is blocked.
-MAX_HOLD_SECONDS = 0.05
+MAX_HOLD_SECONDS = 0.1
 # Longest wait for a turn. It is about the shortest objective of callers.
 MAX_WAIT_SECONDS = 0.25
 # A new call is refused while one that goes before it has waited for longer. It is a
@@ -101,13 +101,16 @@
             waiting.append(turn)
             self._drop_overdue(now)
             self._grant(now)
-        if turn.is_granted.acquire(timeout=self._max_wait):
-            return turn
-        with self._lock:
-            if turn not in waiting:
-                return turn
-            waiting.remove(turn)
-            return None
+        end = time.monotonic() + self._max_wait
+        while not turn.is_granted.acquire(timeout=MAX_HOLD_SECONDS):
+            with self._lock:
+                now = self._monotonic()
+                self._drop_overdue(now)
+                self._grant(now)
+                if turn in waiting and time.monotonic() >= end:
+                    waiting.remove(turn)
+                    return None
+        return turn
 
     def _grant(self, now):
         for _, waiting in sorted(self._waiting_by_rank.items()):
