--- a/rattanworks/tests/utils/http_loop_tests.py
+++ b/rattanworks/tests/utils/http_loop_tests.py
@@ -77,6 +77,14 @@
     def test_an_answer_that_does_not_fit_at_once_is_sent_to_its_end(self):
         self.assertEqual(self.exchange(self.connect(), "/large"), LARGE_BODY)
 
+    def test_an_answer_to_head_has_no_body(self):
+        raw = exchange_raw(
+            self.server.address,
+            b"HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        )
+        self.assertIn(b"Content-Length: 5\r\n", raw)
+        self.assertTrue(raw.endswith(b"\r\n\r\n"))
+
     def test_a_descriptor_that_is_used_again_belongs_to_the_new_connection(self):
         for _ in range(EXCHANGES):
             connection = self.connect()
--- a/rattanworks/utils/http_parts.py
+++ b/rattanworks/utils/http_parts.py
@@ -162,7 +162,12 @@
         return len(self.channel.requests) > 1
 
     def write(self, data):
-        """Write a part of the body, preceded by the head if it is the first."""
+        """Write a part of the body, preceded by the head if it is the first.
+
+        An answer to HEAD has the head only.
+        """
+        if self.request.command == "HEAD":
+            data = b""
         is_first = not self.wrote_header and self.complete
         is_plain = (
             self.content_length == len(data) and 0 < len(data) <= MAX_JOINED_BYTES
