Test what follows an overdue call's answer while its connection is open

The test had read to the end of the connection before the call's own thread went on, so that it could see nothing (found by a review). The late answer is now written between the 504 and the close; without the guard of the writes the test fails.

--- a/rattanworks/tests/adapters/callers_tests.py
+++ b/rattanworks/tests/adapters/callers_tests.py
@@ -13,6 +13,7 @@
 from rattanworks.model.call import Answer
 from rattanworks.tests.servers import exchange_raw
 from rattanworks.utils import http_parts
+from rattanworks.utils.http_parts import TimedChannel
 from rattanworks.utils.http_server import HttpServer
 from rattanworks.utils.idle import wait_until_idle
 from rattanworks.utils.memory_budget import MemoryBudget
@@ -277,16 +278,15 @@
         return Answer(200, body=b"late")
 
     def exchange(self, path):
-        """Send a request while its thread is held up; return all that comes back."""
-        answer = exchange_raw(
+        """Send a request; return all that comes back."""
+        return exchange_raw(
             self.server.address,
             f"GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n".encode(),
         )
-        self.assertFalse(self.returned.is_set())
-        return answer
 
     def test_callers_held_past_their_time_out_as_only_the_calls_thread_keeps_it(self):
         answer = self.exchange("/held")
+        self.assertFalse(self.returned.is_set())
         self.assertIn(b" 504 ", answer.split(b"\r\n")[0])
         self.assertIn(b"X-Request-Id: r1", answer)
         self.assertIn(b"Connection: close", answer)
@@ -295,14 +295,37 @@
         self.assertEqual(self.abandoned, [True])
 
     def test_nothing_follows_the_answer_of_an_overdue_call(self):
-        for path in ("/held", "/failing"):
-            with self.subTest(path):
-                self.release.clear()
-                self.returned.clear()
-                answer = self.exchange(path)
-                self.release.set()
-                self.assertTrue(self.returned.wait(TIMEOUT_SECONDS))
-                self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        # The thread of the call answers before the connection is closed.
+        answer_instead, write_soon = (
+            TimedChannel._answer_instead,
+            TimedChannel.write_soon,
+        )
+        has_written = threading.Event()
+
+        def answer_and_wait(channel, *arguments):
+            answer_instead(channel, *arguments)
+            self.release.set()
+            has_written.wait(TIMEOUT_SECONDS)
+
+        def write_and_report(channel, data):
+            try:
+                return write_soon(channel, data)
+            finally:
+                has_written.set()
+
+        with (
+            unittest.mock.patch.object(
+                TimedChannel, "_answer_instead", answer_and_wait
+            ),
+            unittest.mock.patch.object(TimedChannel, "write_soon", write_and_report),
+        ):
+            for path in ("/held", "/failing"):
+                with self.subTest(path):
+                    self.release.clear()
+                    has_written.clear()
+                    answer = self.exchange(path)
+                    self.assertTrue(has_written.is_set())
+                    self.assertEqual(answer.count(b"HTTP/1.1"), 1)
 
     def test_an_answer_in_time_leaves_the_connection_open(self):
         caller = Caller(self.server.address, "shop")
