--- a/rattanworks/tests/adapters/callers_tests.py
+++ b/rattanworks/tests/adapters/callers_tests.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 import time
@@ -319,8 +320,12 @@
             ),
             unittest.mock.patch.object(TimedChannel, "write_soon", write_and_report),
         ):
-            for path in ("/held", "/failing"):
-                with self.subTest(path):
+            expected_logs = {
+                "/held": contextlib.nullcontext(),
+                "/failing": self.assertLogs("waitress", "ERROR"),
+            }
+            for path, logs in expected_logs.items():
+                with self.subTest(path), logs:
                     self.release.clear()
                     has_written.clear()
                     answer = self.exchange(path)
