--- a/rattanworks/tests/admission/owner_tests.py
+++ b/rattanworks/tests/admission/owner_tests.py
@@ -90,9 +90,9 @@
         self.assertEqual(self.backend.runs, [])
 
     def test_a_server_without_heartbeats_that_left_and_returned_gets_calls(self):
-        self.attach()
+        self.attach(heartbeat_seconds=0.0)
         self.owner.leave()
-        self.attach()
+        self.attach(heartbeat_seconds=0.0)
         self.assertEqual(self.dispatch().outcome, Outcome.DONE)
 
     def leave_for_another(self):
